--- /dev/null
+++ b/internal/dispatch/stats.go
@@ -0,0 +1,35 @@
+package dispatch
+
+// Stats counts what an entry has done since its start.
+type Stats struct {
+	// Messages counts the messages by cause.
+	Messages MessageCounts `json:"messages"`
+	// Tasks started and ended, and jobs by their end.
+	TasksGranted  uint64 `json:"tasks_granted"`
+	TasksDone     uint64 `json:"tasks_done"`
+	TasksFailed   uint64 `json:"tasks_failed"`
+	JobsAccepted  uint64 `json:"jobs_accepted"`
+	JobsComplete  uint64 `json:"jobs_complete"`
+	JobsFailed    uint64 `json:"jobs_failed"`
+	JobsRefused   uint64 `json:"jobs_refused"`
+	JobsResubmits uint64 `json:"jobs_resubmitted"`
+}
+
+// MessageCounts counts the parts of link messages, sent and received.
+type MessageCounts struct {
+	Grants   uint64 `json:"grants"`
+	Results  uint64 `json:"results"`
+	Refusals uint64 `json:"refusals"`
+	// Frames counts the frames that carried them, in both directions.
+	Frames uint64 `json:"frames"`
+	// Offers counts frames that carried nothing but credits.
+	Offers uint64 `json:"offers"`
+	// Revokes counts frames that took credits back.
+	Revokes uint64 `json:"revokes"`
+	// Demands counts frames that carried nothing but demand.
+	Demands uint64 `json:"demands"`
+	// Acks counts frames that carried nothing but acknowledgements.
+	Acks       uint64 `json:"acks"`
+	Cancels    uint64 `json:"cancels"`
+	Heartbeats uint64 `json:"heartbeats"`
+}
--- /dev/null
+++ b/internal/event/daemon.go
@@ -0,0 +1,3 @@
+package event
+
+var daemonEvents = []Description{}
--- /dev/null
+++ b/internal/event/event_test.go
@@ -0,0 +1,18 @@
+package event
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestCatalogueIsOrderedAndComplete(t *testing.T) {
+	is := is.New(t)
+	last := ID(0)
+	for _, d := range Catalogue() {
+		is.True(d.ID > last) // numbers rise, so none stands twice
+		last = d.ID
+		is.True(d.Name != "" && d.Meaning != "" && d.Action != "")
+		is.Equal(Describe(d.ID), d)
+	}
+}
--- /dev/null
+++ b/internal/structs/link.go
@@ -0,0 +1,128 @@
+package structs
+
+import "time"
+
+// FromAgent is one message from an agent to an entry. Its parts are handled in
+// the order of the fields.
+type FromAgent struct {
+	Hello    *Hello
+	Results  []Result
+	Refusals []Refusal
+	// Revoked takes back credits that the entry may still hold.
+	Revoked Credits
+	// Offered adds credits: each lets the entry send one grant.
+	Offered Credits
+	// Idle is the number of credits that other entries hold unused.
+	Idle uint32
+	// Leaving says that the agent takes no more grants.
+	Leaving bool
+	// Revision is the configuration revision in force at the agent.
+	Revision uint64
+	// Heartbeat is set on messages that only show that the agent lives.
+	Heartbeat bool
+}
+
+// Hello opens a link. It is the first message of each connection.
+type Hello struct {
+	// Endpoint is the name of the endpoint beside the agent.
+	Endpoint    string
+	Incarnation Incarnation
+	Pool        string
+	DataCentre  string
+	Slots       uint32
+	Capacity    Needs
+	// Held lists the grants of this entry that the agent has started and whose
+	// results are not acknowledged. A grant that is not listed was not started
+	// and never will be.
+	Held []GrantID
+	// Leaving is set when the agent already takes no grants.
+	Leaving bool
+}
+
+// Credits counts the grants that an entry may send, by what they may carry.
+type Credits struct {
+	// Any may carry every task.
+	Any uint32
+	// Short may carry only tasks of short kinds.
+	Short uint32
+}
+
+// Total returns the sum over both classes.
+func (c Credits) Total() uint32 { return c.Any + c.Short }
+
+// Result reports the end of a started task.
+type Result struct {
+	Grant   GrantID
+	Outcome Outcome
+	Payload []byte
+	// RunTime is measured by the agent.
+	RunTime time.Duration
+}
+
+// RefusalReason says why an agent did not start a granted task.
+type RefusalReason uint8
+
+// The reasons of an agent.
+const (
+	// NoCredit means that the credit was revoked while the grant was under way.
+	NoCredit RefusalReason = iota
+	// AgentLeaving means that the endpoint is leaving.
+	AgentLeaving
+	// BufferFull means that too many results wait for acknowledgement.
+	BufferFull
+	// EndpointDown means that the endpoint accepts no connection.
+	EndpointDown
+)
+
+// Refusal says that a grant was not started and never will be.
+type Refusal struct {
+	Grant  GrantID
+	Reason RefusalReason
+}
+
+// FromEntry is one message from an entry to an agent. Its parts are handled in
+// the order of the fields.
+type FromEntry struct {
+	Welcome *Welcome
+	// Acks lists grants whose results were received.
+	Acks []GrantID
+	// Cancels lists grants whose tasks should stop.
+	Cancels []GrantID
+	Grants  []Grant
+	// Demand replaces the entry's demand at the agent.
+	Demand *Demand
+	// Config replaces the configuration if its revision is higher.
+	Config *Document
+	// Peers replaces the list of entries.
+	Peers []Peer
+	// Heartbeat is set on messages that only show that the entry lives.
+	Heartbeat bool
+	// Leaving says that the entry sends no more grants and closes the link when
+	// the tasks that it started have ended.
+	Leaving bool
+}
+
+// Welcome answers a Hello.
+type Welcome struct {
+	Entry Peer
+}
+
+// Grant hands one task to the agent.
+type Grant struct {
+	ID      GrantID
+	Service string
+	Kind    string
+	// Long is set for tasks of long kinds, which may not use the short reserve.
+	Long bool
+	// Limit bounds the run time.
+	Limit   time.Duration
+	Payload []byte
+}
+
+// Demand tells an agent how many tasks wait at the entry for it.
+type Demand struct {
+	Short uint32
+	Long  uint32
+	// HeadAge is how long the next task has waited.
+	HeadAge time.Duration
+}
--- /dev/null
+++ b/internal/wire/codec.go
@@ -0,0 +1,251 @@
+// Package wire encodes the messages of internal/structs for the link between
+// agent and entry: a four-byte big-endian length, then one protobuf message.
+// It is the only package that knows the encoding.
+package wire
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/structs"
+	"cactuspost.example/internal/wire/wirepb"
+)
+
+// HeaderBytes is the size of the length before each message.
+const HeaderBytes = 4
+
+// MaxFrameBytes bounds one message, header excluded.
+const MaxFrameBytes = 16 << 20
+
+// FrameLength reads a header. It returns a failure of kind TooLarge when the
+// length is over MaxFrameBytes.
+func FrameLength(header []byte) (int, error) {
+	n := binary.BigEndian.Uint32(header)
+	if n > MaxFrameBytes {
+		return 0, failure.Newf(failure.TooLarge, failure.NotRun, "frame of %d bytes, at most %d are allowed", n, MaxFrameBytes)
+	}
+	return int(n), nil
+}
+
+// AppendFromAgent appends a frame with the message to buf.
+func AppendFromAgent(buf []byte, m *structs.FromAgent) ([]byte, error) {
+	return appendFrame(buf, fromAgentToPB(m))
+}
+
+// AppendFromEntry appends a frame with the message to buf.
+func AppendFromEntry(buf []byte, m *structs.FromEntry) ([]byte, error) {
+	pb, err := fromEntryToPB(m)
+	if err != nil {
+		return buf, err
+	}
+	return appendFrame(buf, pb)
+}
+
+func appendFrame(buf []byte, m proto.Message) ([]byte, error) {
+	start := len(buf)
+	buf = append(buf, 0, 0, 0, 0)
+	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, m)
+	if err != nil {
+		return buf[:start], failure.Wrap(err, failure.Internal, failure.NotRun, "encode frame")
+	}
+	size := len(buf) - start - HeaderBytes
+	if size > MaxFrameBytes {
+		return buf[:start], failure.Newf(failure.TooLarge, failure.NotRun, "frame of %d bytes, at most %d are allowed", size, MaxFrameBytes)
+	}
+	binary.BigEndian.PutUint32(buf[start:], uint32(size))
+	return buf, nil
+}
+
+// DecodeFromAgent decodes a message without its header. The result doesn't
+// share memory with body. It returns a failure of kind Invalid for other bytes.
+func DecodeFromAgent(body []byte) (*structs.FromAgent, error) {
+	var pb wirepb.FromAgent
+	if err := proto.Unmarshal(body, &pb); err != nil {
+		return nil, failure.Wrap(err, failure.Invalid, failure.NotRun, "decode frame from agent")
+	}
+	return fromAgentFromPB(&pb), nil
+}
+
+// DecodeFromEntry is DecodeFromAgent for the other direction.
+func DecodeFromEntry(body []byte) (*structs.FromEntry, error) {
+	var pb wirepb.FromEntry
+	if err := proto.Unmarshal(body, &pb); err != nil {
+		return nil, failure.Wrap(err, failure.Invalid, failure.NotRun, "decode frame from entry")
+	}
+	return fromEntryFromPB(&pb)
+}
+
+func fromAgentToPB(m *structs.FromAgent) *wirepb.FromAgent {
+	pb := &wirepb.FromAgent{
+		Idle: m.Idle, Leaving: m.Leaving, Revision: m.Revision, Heartbeat: m.Heartbeat,
+		Offered: creditsToPB(m.Offered), Revoked: creditsToPB(m.Revoked),
+	}
+	if m.Hello != nil {
+		pb.Hello = helloToPB(m.Hello)
+	}
+	for i := range m.Results {
+		r := &m.Results[i]
+		pb.Results = append(pb.Results, &wirepb.Result{
+			Grant: grantIDToPB(r.Grant), Outcome: uint32(r.Outcome),
+			Payload: r.Payload, RunTimeUs: r.RunTime.Microseconds(),
+		})
+	}
+	for _, r := range m.Refusals {
+		pb.Refusals = append(pb.Refusals, &wirepb.Refusal{Grant: grantIDToPB(r.Grant), Reason: uint32(r.Reason)})
+	}
+	return pb
+}
+
+func fromAgentFromPB(pb *wirepb.FromAgent) *structs.FromAgent {
+	m := &structs.FromAgent{
+		Idle: pb.Idle, Leaving: pb.Leaving, Revision: pb.Revision, Heartbeat: pb.Heartbeat,
+		Offered: creditsFromPB(pb.Offered), Revoked: creditsFromPB(pb.Revoked),
+	}
+	if pb.Hello != nil {
+		m.Hello = helloFromPB(pb.Hello)
+	}
+	for _, r := range pb.Results {
+		m.Results = append(m.Results, structs.Result{
+			Grant: grantIDFromPB(r.Grant), Outcome: structs.Outcome(r.Outcome),
+			Payload: r.Payload, RunTime: micros(r.RunTimeUs),
+		})
+	}
+	for _, r := range pb.Refusals {
+		m.Refusals = append(m.Refusals, structs.Refusal{Grant: grantIDFromPB(r.Grant), Reason: structs.RefusalReason(r.Reason)})
+	}
+	return m
+}
+
+func fromEntryToPB(m *structs.FromEntry) (*wirepb.FromEntry, error) {
+	pb := &wirepb.FromEntry{
+		Acks: grantIDsToPB(m.Acks), Cancels: grantIDsToPB(m.Cancels),
+		Heartbeat: m.Heartbeat, Leaving: m.Leaving,
+	}
+	if m.Welcome != nil {
+		pb.Welcome = &wirepb.Welcome{Entry: peerToPB(m.Welcome.Entry)}
+	}
+	for i := range m.Grants {
+		g := &m.Grants[i]
+		pb.Grants = append(pb.Grants, &wirepb.Grant{
+			Id: grantIDToPB(g.ID), Service: g.Service, Kind: g.Kind, Long: g.Long,
+			LimitUs: g.Limit.Microseconds(), Payload: g.Payload,
+		})
+	}
+	if d := m.Demand; d != nil {
+		pb.Demand = &wirepb.Demand{Short: d.Short, Long: d.Long, HeadAgeUs: d.HeadAge.Microseconds()}
+	}
+	for _, p := range m.Peers {
+		pb.Peers = append(pb.Peers, peerToPB(p))
+	}
+	if m.Config == nil {
+		return pb, nil
+	}
+	config, err := json.Marshal(m.Config)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "encode configuration")
+	}
+	pb.Config = config
+	return pb, nil
+}
+
+func fromEntryFromPB(pb *wirepb.FromEntry) (*structs.FromEntry, error) {
+	m := &structs.FromEntry{
+		Acks: grantIDsFromPB(pb.Acks), Cancels: grantIDsFromPB(pb.Cancels),
+		Heartbeat: pb.Heartbeat, Leaving: pb.Leaving,
+	}
+	if pb.Welcome != nil {
+		m.Welcome = &structs.Welcome{Entry: peerFromPB(pb.Welcome.Entry)}
+	}
+	for _, g := range pb.Grants {
+		m.Grants = append(m.Grants, structs.Grant{
+			ID: grantIDFromPB(g.Id), Service: g.Service, Kind: g.Kind, Long: g.Long,
+			Limit: micros(g.LimitUs), Payload: g.Payload,
+		})
+	}
+	if d := pb.Demand; d != nil {
+		m.Demand = &structs.Demand{Short: d.Short, Long: d.Long, HeadAge: micros(d.HeadAgeUs)}
+	}
+	for _, p := range pb.Peers {
+		m.Peers = append(m.Peers, peerFromPB(p))
+	}
+	if len(pb.Config) == 0 {
+		return m, nil
+	}
+	m.Config = &structs.Document{}
+	if err := json.Unmarshal(pb.Config, m.Config); err != nil {
+		return nil, failure.Wrap(err, failure.Invalid, failure.NotRun, "decode configuration")
+	}
+	return m, nil
+}
+
+func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
+func helloToPB(h *structs.Hello) *wirepb.Hello {
+	return &wirepb.Hello{
+		Endpoint: h.Endpoint, Incarnation: uint64(h.Incarnation), Pool: h.Pool, DataCentre: h.DataCentre,
+		Slots: h.Slots, Held: grantIDsToPB(h.Held), Leaving: h.Leaving,
+		Capacity: &wirepb.Needs{Cores: h.Capacity.Cores, MemoryMb: h.Capacity.MemoryMB, Accelerators: h.Capacity.Accelerators},
+	}
+}
+
+func helloFromPB(pb *wirepb.Hello) *structs.Hello {
+	capacity := pb.GetCapacity()
+	return &structs.Hello{
+		Endpoint: pb.Endpoint, Incarnation: structs.Incarnation(pb.Incarnation), Pool: pb.Pool, DataCentre: pb.DataCentre,
+		Slots: pb.Slots, Held: grantIDsFromPB(pb.Held), Leaving: pb.Leaving,
+		Capacity: structs.Needs{Cores: capacity.GetCores(), MemoryMB: capacity.GetMemoryMb(), Accelerators: capacity.GetAccelerators()},
+	}
+}
+
+func creditsToPB(c structs.Credits) *wirepb.Credits {
+	if c == (structs.Credits{}) {
+		return nil
+	}
+	return &wirepb.Credits{Any: c.Any, Short: c.Short}
+}
+
+func creditsFromPB(pb *wirepb.Credits) structs.Credits {
+	return structs.Credits{Any: pb.GetAny(), Short: pb.GetShort()}
+}
+
+func grantIDToPB(id structs.GrantID) *wirepb.GrantID {
+	return &wirepb.GrantID{Owner: uint64(id.Owner), Job: id.Job, Task: id.Task, Attempt: id.Attempt}
+}
+
+func grantIDFromPB(pb *wirepb.GrantID) structs.GrantID {
+	return structs.GrantID{Owner: structs.Incarnation(pb.GetOwner()), Job: pb.GetJob(), Task: pb.GetTask(), Attempt: pb.GetAttempt()}
+}
+
+func grantIDsToPB(ids []structs.GrantID) []*wirepb.GrantID {
+	var pbs []*wirepb.GrantID
+	for _, id := range ids {
+		pbs = append(pbs, grantIDToPB(id))
+	}
+	return pbs
+}
+
+func grantIDsFromPB(pbs []*wirepb.GrantID) []structs.GrantID {
+	var ids []structs.GrantID
+	for _, pb := range pbs {
+		ids = append(ids, grantIDFromPB(pb))
+	}
+	return ids
+}
+
+func peerToPB(p structs.Peer) *wirepb.Peer {
+	return &wirepb.Peer{
+		Name: p.Name, Incarnation: uint64(p.Incarnation), DataCentre: p.DataCentre,
+		LinkAddress: p.LinkAddress, PeerAddress: p.PeerAddress, HttpAddress: p.HTTPAddress,
+	}
+}
+
+func peerFromPB(pb *wirepb.Peer) structs.Peer {
+	return structs.Peer{
+		Name: pb.GetName(), Incarnation: structs.Incarnation(pb.GetIncarnation()), DataCentre: pb.GetDataCentre(),
+		LinkAddress: pb.GetLinkAddress(), PeerAddress: pb.GetPeerAddress(), HTTPAddress: pb.GetHttpAddress(),
+	}
+}
