Link: grants name their credit class; welcome and agents carry the revision

Cause: with two credit classes, a short grant that crosses a revocation left the two sides counting different classes; each later grant would be refused and sent again without end. The grant now names the class. Agents also hand a higher configuration to an entry that starts while the table is down.

--- a/internal/structs/link.go
+++ b/internal/structs/link.go
@@ -18,6 +18,8 @@
 	Leaving bool
 	// Revision is the configuration revision in force at the agent.
 	Revision uint64
+	// Config is sent to an entry that knows a lower revision than the agent.
+	Config *Document
 	// Heartbeat is set on messages that only show that the agent lives.
 	Heartbeat bool
 }
@@ -105,6 +107,8 @@
 // Welcome answers a Hello.
 type Welcome struct {
 	Entry Peer
+	// Revision is the configuration revision that the entry knows; zero is none.
+	Revision uint64
 }
 
 // Grant hands one task to the agent.
@@ -114,6 +118,9 @@
 	Kind    string
 	// Long is set for tasks of long kinds, which may not use the short reserve.
 	Long bool
+	// Reserved says that the grant uses a Short credit; otherwise it uses an Any
+	// credit. Both sides count the classes apart, so the grant has to name it.
+	Reserved bool
 	// Limit bounds the run time.
 	Limit   time.Duration
 	Payload []byte
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -33,7 +33,11 @@
 
 // AppendFromAgent appends a frame with the message to buf.
 func AppendFromAgent(buf []byte, m *structs.FromAgent) ([]byte, error) {
-	return appendFrame(buf, fromAgentToPB(m))
+	pb, err := fromAgentToPB(m)
+	if err != nil {
+		return buf, err
+	}
+	return appendFrame(buf, pb)
 }
 
 // AppendFromEntry appends a frame with the message to buf.
@@ -67,7 +71,7 @@
 	if err := proto.Unmarshal(body, &pb); err != nil {
 		return nil, failure.Wrap(err, failure.Invalid, failure.NotRun, "decode frame from agent")
 	}
-	return fromAgentFromPB(&pb), nil
+	return fromAgentFromPB(&pb)
 }
 
 // DecodeFromEntry is DecodeFromAgent for the other direction.
@@ -79,7 +83,7 @@
 	return fromEntryFromPB(&pb)
 }
 
-func fromAgentToPB(m *structs.FromAgent) *wirepb.FromAgent {
+func fromAgentToPB(m *structs.FromAgent) (*wirepb.FromAgent, error) {
 	pb := &wirepb.FromAgent{
 		Idle: m.Idle, Leaving: m.Leaving, Revision: m.Revision, Heartbeat: m.Heartbeat,
 		Offered: creditsToPB(m.Offered), Revoked: creditsToPB(m.Revoked),
@@ -97,10 +101,12 @@
 	for _, r := range m.Refusals {
 		pb.Refusals = append(pb.Refusals, &wirepb.Refusal{Grant: grantIDToPB(r.Grant), Reason: uint32(r.Reason)})
 	}
-	return pb
+	var err error
+	pb.Config, err = documentToPB(m.Config)
+	return pb, err
 }
 
-func fromAgentFromPB(pb *wirepb.FromAgent) *structs.FromAgent {
+func fromAgentFromPB(pb *wirepb.FromAgent) (*structs.FromAgent, error) {
 	m := &structs.FromAgent{
 		Idle: pb.Idle, Leaving: pb.Leaving, Revision: pb.Revision, Heartbeat: pb.Heartbeat,
 		Offered: creditsFromPB(pb.Offered), Revoked: creditsFromPB(pb.Revoked),
@@ -117,7 +123,9 @@
 	for _, r := range pb.Refusals {
 		m.Refusals = append(m.Refusals, structs.Refusal{Grant: grantIDFromPB(r.Grant), Reason: structs.RefusalReason(r.Reason)})
 	}
-	return m
+	var err error
+	m.Config, err = documentFromPB(pb.Config)
+	return m, err
 }
 
 func fromEntryToPB(m *structs.FromEntry) (*wirepb.FromEntry, error) {
@@ -126,12 +134,12 @@
 		Heartbeat: m.Heartbeat, Leaving: m.Leaving,
 	}
 	if m.Welcome != nil {
-		pb.Welcome = &wirepb.Welcome{Entry: peerToPB(m.Welcome.Entry)}
+		pb.Welcome = &wirepb.Welcome{Entry: peerToPB(m.Welcome.Entry), Revision: m.Welcome.Revision}
 	}
 	for i := range m.Grants {
 		g := &m.Grants[i]
 		pb.Grants = append(pb.Grants, &wirepb.Grant{
-			Id: grantIDToPB(g.ID), Service: g.Service, Kind: g.Kind, Long: g.Long,
+			Id: grantIDToPB(g.ID), Service: g.Service, Kind: g.Kind, Long: g.Long, Reserved: g.Reserved,
 			LimitUs: g.Limit.Microseconds(), Payload: g.Payload,
 		})
 	}
@@ -141,15 +149,9 @@
 	for _, p := range m.Peers {
 		pb.Peers = append(pb.Peers, peerToPB(p))
 	}
-	if m.Config == nil {
-		return pb, nil
-	}
-	config, err := json.Marshal(m.Config)
-	if err != nil {
-		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "encode configuration")
-	}
-	pb.Config = config
-	return pb, nil
+	var err error
+	pb.Config, err = documentToPB(m.Config)
+	return pb, err
 }
 
 func fromEntryFromPB(pb *wirepb.FromEntry) (*structs.FromEntry, error) {
@@ -158,11 +160,11 @@
 		Heartbeat: pb.Heartbeat, Leaving: pb.Leaving,
 	}
 	if pb.Welcome != nil {
-		m.Welcome = &structs.Welcome{Entry: peerFromPB(pb.Welcome.Entry)}
+		m.Welcome = &structs.Welcome{Entry: peerFromPB(pb.Welcome.Entry), Revision: pb.Welcome.Revision}
 	}
 	for _, g := range pb.Grants {
 		m.Grants = append(m.Grants, structs.Grant{
-			ID: grantIDFromPB(g.Id), Service: g.Service, Kind: g.Kind, Long: g.Long,
+			ID: grantIDFromPB(g.Id), Service: g.Service, Kind: g.Kind, Long: g.Long, Reserved: g.Reserved,
 			Limit: micros(g.LimitUs), Payload: g.Payload,
 		})
 	}
@@ -172,14 +174,31 @@
 	for _, p := range pb.Peers {
 		m.Peers = append(m.Peers, peerFromPB(p))
 	}
-	if len(pb.Config) == 0 {
-		return m, nil
+	var err error
+	m.Config, err = documentFromPB(pb.Config)
+	return m, err
+}
+
+func documentToPB(doc *structs.Document) ([]byte, error) {
+	if doc == nil {
+		return nil, nil
+	}
+	text, err := json.Marshal(doc)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "encode configuration")
+	}
+	return text, nil
+}
+
+func documentFromPB(text []byte) (*structs.Document, error) {
+	if len(text) == 0 {
+		return nil, nil
 	}
-	m.Config = &structs.Document{}
-	if err := json.Unmarshal(pb.Config, m.Config); err != nil {
+	doc := &structs.Document{}
+	if err := json.Unmarshal(text, doc); err != nil {
 		return nil, failure.Wrap(err, failure.Invalid, failure.NotRun, "decode configuration")
 	}
-	return m, nil
+	return doc, nil
 }
 
 func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -20,7 +20,7 @@
 		Results:  []structs.Result{{Grant: grantID, Outcome: structs.Errored, Payload: []byte("x"), RunTime: time.Millisecond}},
 		Refusals: []structs.Refusal{{Grant: grantID, Reason: structs.BufferFull}},
 		Revoked:  structs.Credits{Any: 1}, Offered: structs.Credits{Short: 2},
-		Idle: 4, Leaving: true, Revision: 11, Heartbeat: true,
+		Idle: 4, Leaving: true, Revision: 11, Heartbeat: true, Config: &structs.Document{Revision: 11},
 	}
 	frame, err := AppendFromAgent(nil, want)
 	is.NoErr(err)
@@ -36,8 +36,8 @@
 	is := is.New(t)
 	peer := structs.Peer{Name: "e1", Incarnation: 3, DataCentre: "Kochi", LinkAddress: "a", PeerAddress: "b", HTTPAddress: "c"}
 	want := &structs.FromEntry{
-		Welcome: &structs.Welcome{Entry: peer}, Acks: []structs.GrantID{grantID}, Cancels: []structs.GrantID{grantID},
-		Grants: []structs.Grant{{ID: grantID, Service: "s", Kind: "k", Long: true, Limit: time.Second, Payload: []byte("y")}},
+		Welcome: &structs.Welcome{Entry: peer, Revision: 6}, Acks: []structs.GrantID{grantID}, Cancels: []structs.GrantID{grantID},
+		Grants: []structs.Grant{{ID: grantID, Service: "s", Kind: "k", Long: true, Reserved: true, Limit: time.Second, Payload: []byte("y")}},
 		Demand: &structs.Demand{Short: 1, Long: 2, HeadAge: time.Millisecond},
 		Config: &structs.Document{Revision: 4, Services: map[string]structs.Service{"s": {Pool: "p"}}},
 		Peers:  []structs.Peer{peer}, Heartbeat: true, Leaving: true,
