--- /dev/null
+++ b/internal/agent/charts.go
@@ -0,0 +1,161 @@
+package agent
+
+import (
+	"cactuspost.example/charts"
+	"cactuspost.example/internal/chart"
+)
+
+// The machines are set by init, since their actions refer to them.
+var (
+	linkChart  *chart.Machine[linkStep]
+	slotChart  *chart.Machine[slotStep]
+	runChart   *chart.Machine[runStep]
+	drainChart *chart.Machine[*Core]
+)
+
+// linkStep is the context of chart link.
+type linkStep struct {
+	core *Core
+	link *link
+}
+
+func compileLinkChart() *chart.Machine[linkStep] {
+	return chart.MustCompile(charts.Files, "link", chart.Bindings[linkStep]{
+		Guards: map[string]func(linkStep) bool{
+			"same_incarnation": func(s linkStep) bool { return s.link.entry == s.link.welcomed },
+		},
+		Actions: map[string]func(linkStep){
+			"dial":              func(s linkStep) { s.core.dial(s.link) },
+			"send_hello":        func(s linkStep) { s.core.sendHello(s.link) },
+			"schedule_retry":    func(s linkStep) { s.core.scheduleRetry(s.link) },
+			"close":             func(s linkStep) { s.core.closeLink(s.link) },
+			"withdraw_credits":  func(s linkStep) { s.core.withdrawCredits(s.link) },
+			"start_grace":       func(s linkStep) { s.link.graceEnd = s.core.now.Add(s.core.tuning.EntryGrace) },
+			"abandon_runs":      func(s linkStep) { s.core.abandonRuns(s.link) },
+			"renew_incarnation": func(s linkStep) { s.link.self = s.core.newIncarnation() },
+			"adopt_incarnation": func(s linkStep) { s.core.adoptIncarnation(s.link) },
+			"resume_runs":       func(s linkStep) { s.core.resumeRuns(s.link) },
+			"announce":          func(s linkStep) { s.core.announce(s.link) },
+		},
+	})
+}
+
+var linkEvents struct {
+	Retry     chart.Event `chart:"retry"`
+	Connected chart.Event `chart:"connected"`
+	Welcomed  chart.Event `chart:"welcomed"`
+	Broken    chart.Event `chart:"broken"`
+	Silent    chart.Event `chart:"silent"`
+	GraceOver chart.Event `chart:"grace_over"`
+	Unlisted  chart.Event `chart:"unlisted"`
+}
+
+var linkStates struct {
+	Waiting   chart.State `chart:"waiting"`
+	Dialing   chart.State `chart:"dialing"`
+	Greeting  chart.State `chart:"greeting"`
+	Up        chart.State `chart:"up"`
+	Forgotten chart.State `chart:"forgotten"`
+}
+
+// slotStep is the context of chart slot; link and class are set for an offer,
+// run for a start.
+type slotStep struct {
+	core *Core
+	slot *slot
+	link *link
+	run  *run
+	// reserved makes the offer a Short credit.
+	reserved bool
+}
+
+func compileSlotChart() *chart.Machine[slotStep] {
+	return chart.MustCompile(charts.Files, "slot", chart.Bindings[slotStep]{
+		Guards: map[string]func(slotStep) bool{
+			"leaving": func(s slotStep) bool { return s.core.leaving() },
+		},
+		Actions: map[string]func(slotStep){
+			"assign":   func(s slotStep) { s.core.assignSlot(s.slot, s.link, s.reserved) },
+			"withdraw": func(s slotStep) { s.core.withdrawSlot(s.slot) },
+			"occupy":   func(s slotStep) { s.core.occupySlot(s.slot, s.run) },
+			"vacate":   func(s slotStep) { s.core.vacateSlot(s.slot) },
+		},
+	})
+}
+
+var slotEvents struct {
+	Offer    chart.Event `chart:"offer"`
+	Revoke   chart.Event `chart:"revoke"`
+	LinkLost chart.Event `chart:"link_lost"`
+	Start    chart.Event `chart:"start"`
+	Release  chart.Event `chart:"release"`
+	Leave    chart.Event `chart:"leave"`
+}
+
+var slotStates struct {
+	Free    chart.State `chart:"free"`
+	Offered chart.State `chart:"offered"`
+	Busy    chart.State `chart:"busy"`
+	Closed  chart.State `chart:"closed"`
+}
+
+// runStep is the context of chart run.
+type runStep struct {
+	core *Core
+	run  *run
+}
+
+func compileRunChart() *chart.Machine[runStep] {
+	return chart.MustCompile(charts.Files, "run", chart.Bindings[runStep]{
+		Guards: map[string]func(runStep) bool{
+			"may_start": func(s runStep) bool { return s.run.slot != nil },
+		},
+		Actions: map[string]func(runStep){
+			"start":         func(s runStep) { s.core.startRun(s.run) },
+			"refuse":        func(s runStep) { s.core.refuseRun(s.run) },
+			"free_slot":     func(s runStep) { s.core.freeSlot(s.run) },
+			"keep_result":   func(s runStep) { s.core.unacked++ },
+			"send_result":   func(s runStep) { s.core.sendResult(s.run) },
+			"stop_task":     func(s runStep) { s.core.emit(&StopTask{Grant: s.run.grant.ID}) },
+			"mark_limit":    func(s runStep) { s.core.markLimit(s.run) },
+			"forget_result": func(s runStep) { s.core.unacked-- },
+		},
+	})
+}
+
+var runEvents struct {
+	Decide    chart.Event `chart:"decide"`
+	Exited    chart.Event `chart:"exited"`
+	Stop      chart.Event `chart:"stop"`
+	Limit     chart.Event `chart:"limit"`
+	Acked     chart.Event `chart:"acked"`
+	Resumed   chart.Event `chart:"resumed"`
+	EntryGone chart.Event `chart:"entry_gone"`
+}
+
+func compileDrainChart() *chart.Machine[*Core] {
+	return chart.MustCompile(charts.Files, "drain", chart.Bindings[*Core]{
+		Actions: map[string]func(*Core){
+			"announce": (*Core).announceDrain,
+			"finish":   func(c *Core) { c.emit(&Drained{}) },
+		},
+	})
+}
+
+var drainEvents struct {
+	Stop chart.Event `chart:"stop"`
+	Idle chart.Event `chart:"idle"`
+}
+
+func init() {
+	linkChart = compileLinkChart()
+	slotChart = compileSlotChart()
+	runChart = compileRunChart()
+	drainChart = compileDrainChart()
+	linkChart.MustNames(&linkEvents)
+	linkChart.MustNames(&linkStates)
+	slotChart.MustNames(&slotEvents)
+	slotChart.MustNames(&slotStates)
+	runChart.MustNames(&runEvents)
+	drainChart.MustNames(&drainEvents)
+}
--- /dev/null
+++ b/internal/agent/link.go
@@ -0,0 +1,268 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"cactuspost.example/internal/chart"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/structs"
+)
+
+// link is the agent's connection to one entry.
+type link struct {
+	address string
+	// seed links come from the settings and are never forgotten.
+	seed   bool
+	listed bool
+	state  chart.State
+	id     LinkID
+	// entry is the incarnation that last answered, welcomed the one that
+	// answers now.
+	entry    structs.Incarnation
+	welcomed structs.Incarnation
+	// self is the incarnation under which the agent greets the entry.
+	self structs.Incarnation
+	// greeted is set from the welcome to the end of the connection.
+	greeted bool
+	// entryLeaving says that the entry sends no more grants.
+	entryLeaving bool
+
+	retry    *backoff.ExponentialBackOff
+	retryAt  time.Time
+	graceEnd time.Time
+	heardAt  time.Time
+
+	credits structs.Credits
+	demand  structs.Demand
+	// headSince is when the entry's next task began to wait, by this clock.
+	headSince time.Time
+	idleTold  uint32
+
+	out *structs.FromAgent
+}
+
+func (l *link) message() *structs.FromAgent {
+	if l.out == nil {
+		l.out = &structs.FromAgent{}
+	}
+	return l.out
+}
+
+func (l *link) view() LinkView {
+	return LinkView{
+		Address: l.address, Entry: l.entry, State: linkChart.StateName(l.state),
+		Credits: int(l.credits.Total()), Outstanding: int(l.demand.Short + l.demand.Long),
+	}
+}
+
+func (c *Core) addLink(address string, seed bool) {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = c.tuning.FirstRetry
+	retry.MaxInterval = c.tuning.LastRetry
+	// The jitter is added here, from the agent's own seed.
+	retry.RandomizationFactor = 0
+	c.links = append(c.links, &link{address: address, seed: seed, listed: true, self: c.opts.Incarnation, state: linkChart.Initial(), retry: retry})
+}
+
+func (c *Core) fireLink(l *link, e chart.Event) bool {
+	return linkChart.Fire(&l.state, e, linkStep{core: c, link: l})
+}
+
+func (c *Core) newIncarnation() structs.Incarnation {
+	return structs.Incarnation(c.rng.Uint64() | 1)
+}
+
+func (c *Core) tickLink(l *link) {
+	if !l.graceEnd.IsZero() && !c.now.Before(l.graceEnd) {
+		if c.fireLink(l, linkEvents.GraceOver) {
+			l.graceEnd = time.Time{}
+		}
+	}
+	if l.state == linkStates.Waiting && !l.listed && !l.seed {
+		c.fireLink(l, linkEvents.Unlisted)
+		c.happened(event.EntryForgotten, l.address, structs.GrantID{}, "")
+	}
+	if !c.now.Before(l.retryAt) {
+		c.fireLink(l, linkEvents.Retry)
+	}
+	if c.now.Sub(l.heardAt) > c.tuning.Silence {
+		c.fireLink(l, linkEvents.Silent)
+	}
+}
+
+func (c *Core) dropForgotten() {
+	c.links = slices.DeleteFunc(c.links, func(l *link) bool { return l.state == linkStates.Forgotten })
+}
+
+func (c *Core) dial(l *link) {
+	c.lastID++
+	l.id = c.lastID
+	c.byID[l.id] = l
+	c.emit(&Dial{Link: l.id, Address: l.address})
+}
+
+func (c *Core) linkOpened(id LinkID) {
+	if l := c.byID[id]; l != nil {
+		l.heardAt = c.now
+		c.fireLink(l, linkEvents.Connected)
+	}
+}
+
+func (c *Core) linkClosed(id LinkID) {
+	l := c.byID[id]
+	if l == nil {
+		return
+	}
+	delete(c.byID, id)
+	if l.state == linkStates.Up {
+		c.happened(event.LinkBroken, l.address, structs.GrantID{}, "")
+	}
+	l.out = nil
+	l.greeted = false
+	c.fireLink(l, linkEvents.Broken)
+}
+
+// closeLink gives up a connection; what still arrives on it is not handled.
+func (c *Core) closeLink(l *link) {
+	delete(c.byID, l.id)
+	l.out = nil
+	l.greeted = false
+	c.emit(&CloseLink{Link: l.id})
+}
+
+func (c *Core) scheduleRetry(l *link) {
+	pause := l.retry.NextBackOff()
+	jitter := time.Duration(c.rng.Int64N(int64(pause)/2 + 1))
+	l.retryAt = c.now.Add(pause/2 + jitter)
+}
+
+// sendHello lists all grants that were started, so that the entry knows that
+// its others were not. Grants of other entries are in the list too: it isn't
+// known yet which incarnation answers. Grants on an earlier connection are not
+// handled any more from here on.
+func (c *Core) sendHello(l *link) {
+	hello := &structs.Hello{
+		Endpoint: c.opts.Endpoint, Incarnation: l.self, Pool: c.opts.Pool, DataCentre: c.opts.DataCentre,
+		Slots: uint32(len(c.slots)), Capacity: c.opts.Capacity, Leaving: c.leaving(),
+	}
+	for _, r := range c.sortedRuns() {
+		hello.Held = append(hello.Held, r.grant.ID)
+	}
+	l.message().Hello = hello
+	l.message().Revision = c.revision()
+}
+
+func (c *Core) entryMessage(m *EntryMessage) {
+	l := c.byID[m.Link]
+	if l == nil {
+		return
+	}
+	l.heardAt = c.now
+	if m.Message.Welcome != nil {
+		c.welcome(l, m.Message.Welcome)
+	}
+	if l.state != linkStates.Up {
+		return
+	}
+	c.learn(m.Message.Config)
+	c.setPeers(m.Message.Peers)
+	c.takeAcks(m.Message.Acks)
+	for _, id := range m.Message.Cancels {
+		if r := c.runs[id]; r != nil {
+			c.fireRun(r, runEvents.Stop)
+		}
+	}
+	for i := range m.Message.Grants {
+		c.takeGrant(l, &m.Message.Grants[i])
+	}
+	if m.Message.Leaving {
+		l.entryLeaving = true
+		c.withdrawCredits(l)
+	}
+	if m.Message.Demand != nil {
+		c.takeDemand(l, m.Message.Demand)
+	}
+}
+
+func (c *Core) welcome(l *link, w *structs.Welcome) {
+	l.welcomed = w.Entry.Incarnation
+	l.entryLeaving = false
+	l.greeted = true
+	if l.entry != 0 && l.entry != l.welcomed {
+		c.happened(event.EntryReplaced, l.address, structs.GrantID{}, "")
+	}
+	c.fireLink(l, linkEvents.Welcomed)
+	c.happened(event.LinkUp, l.address, structs.GrantID{}, "")
+	if w.Revision < c.revision() {
+		l.message().Config = c.doc
+	}
+}
+
+func (c *Core) adoptIncarnation(l *link) { l.entry = l.welcomed }
+
+// announce starts the exchange on a link that has come up.
+func (c *Core) announce(l *link) {
+	l.graceEnd = time.Time{}
+	l.retry.Reset()
+	l.demand = structs.Demand{}
+	m := l.message()
+	m.Revision = c.revision()
+	m.Leaving = c.leaving()
+	c.rebalance(l)
+}
+
+// setPeers dials entries that are new in the list and marks those that are no
+// longer in it.
+func (c *Core) setPeers(peers []structs.Peer) {
+	if len(peers) == 0 {
+		return
+	}
+	for _, l := range c.links {
+		l.listed = false
+	}
+	for _, p := range peers {
+		if l := c.linkTo(p); l != nil {
+			l.listed = true
+			continue
+		}
+		c.addLink(p.LinkAddress, false)
+	}
+}
+
+// linkTo returns the link to an entry, found by its address or, if the entry
+// is known under another address, by its incarnation.
+func (c *Core) linkTo(p structs.Peer) *link {
+	for _, l := range c.links {
+		if l.address == p.LinkAddress || (l.entry != 0 && l.entry == p.Incarnation) {
+			return l
+		}
+	}
+	return nil
+}
+
+// flushLink emits the collected message.
+func (c *Core) flushLink(l *link) {
+	if l.out == nil || (l.state != linkStates.Up && l.state != linkStates.Greeting) {
+		return
+	}
+	l.out.Idle = c.idleElsewhere(l)
+	l.idleTold = l.out.Idle
+	c.emit(&Send{Link: l.id, Message: l.out})
+	l.out = nil
+}
+
+// idleElsewhere counts the credits that other entries hold without demand.
+func (c *Core) idleElsewhere(l *link) uint32 {
+	idle := uint32(0)
+	for _, other := range c.links {
+		if other != l && other.wanted() == 0 {
+			idle += other.credits.Total()
+		}
+	}
+	return idle
+}
+
+func (l *link) wanted() uint32 { return l.demand.Short + l.demand.Long }
--- /dev/null
+++ b/internal/agent/run.go
@@ -0,0 +1,142 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"cactuspost.example/internal/chart"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/structs"
+)
+
+// run is one grant that was received.
+type run struct {
+	grant     structs.Grant
+	link      *link
+	slot      *slot
+	state     chart.State
+	limit     time.Duration
+	overLimit bool
+	startedAt time.Time
+	result    structs.Result
+}
+
+func (c *Core) fireRun(r *run, e chart.Event) {
+	runChart.Fire(&r.state, e, runStep{core: c, run: r})
+	if runChart.Final(r.state) {
+		delete(c.runs, r.grant.ID)
+	}
+}
+
+// takeGrant starts the task, or refuses the grant for good.
+func (c *Core) takeGrant(l *link, g *structs.Grant) {
+	if c.runs[g.ID] != nil {
+		return
+	}
+	r := &run{grant: *g, link: l, state: runChart.Initial(), limit: g.Limit}
+	r.slot = c.offeredSlot(l, g.Reserved)
+	c.runs[g.ID] = r
+	c.fireRun(r, runEvents.Decide)
+}
+
+func (c *Core) startRun(r *run) {
+	c.started++
+	r.startedAt = c.now
+	c.fireSlot(r.slot, slotEvents.Start, r)
+	c.emit(&StartTask{Grant: r.grant})
+	r.grant.Payload = nil
+}
+
+func (c *Core) refuseRun(r *run) {
+	c.refused++
+	m := r.link.message()
+	m.Refusals = append(m.Refusals, structs.Refusal{Grant: r.grant.ID, Reason: c.refusalReason()})
+	c.happened(event.GrantRefused, r.link.address, r.grant.ID, "")
+}
+
+func (c *Core) refusalReason() structs.RefusalReason {
+	switch {
+	case c.leaving():
+		return structs.AgentLeaving
+	case !c.endpointUp:
+		return structs.EndpointDown
+	case c.bufferFull():
+		return structs.BufferFull
+	default:
+		return structs.NoCredit
+	}
+}
+
+func (c *Core) markLimit(r *run) {
+	r.overLimit = true
+	c.happened(event.TaskOverLimit, r.link.address, r.grant.ID, "")
+}
+
+func (c *Core) taskExited(m *TaskExited) {
+	r := c.runs[m.Grant]
+	if r == nil {
+		return
+	}
+	r.result = structs.Result{Grant: m.Grant, Outcome: m.Outcome, Payload: m.Payload, RunTime: m.RunTime}
+	if r.overLimit && m.Outcome != structs.Succeeded {
+		r.result.Outcome = structs.LimitExceeded
+	}
+	c.fireRun(r, runEvents.Exited)
+}
+
+func (c *Core) freeSlot(r *run) {
+	c.fireSlot(r.slot, slotEvents.Release, r)
+	r.slot = nil
+}
+
+// sendResult puts the result into the next message, if the link is up. If it
+// isn't, the result is sent when the same entry answers again.
+func (c *Core) sendResult(r *run) {
+	if !r.link.greeted {
+		return
+	}
+	m := r.link.message()
+	m.Results = append(m.Results, r.result)
+}
+
+func (c *Core) takeAcks(ids []structs.GrantID) {
+	for _, id := range ids {
+		if r := c.runs[id]; r != nil {
+			c.fireRun(r, runEvents.Acked)
+		}
+	}
+}
+
+// runsOf returns the runs of the entry that last answered on the link.
+func (c *Core) runsOf(l *link) []*run {
+	return slices.DeleteFunc(c.sortedRuns(), func(r *run) bool { return r.grant.ID.Owner != l.entry })
+}
+
+// sortedRuns returns all runs in the order of their ids, so that messages are
+// repeatable.
+func (c *Core) sortedRuns() []*run {
+	runs := make([]*run, 0, len(c.runs))
+	for _, r := range c.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *run) int {
+		if a.grant.ID.Job != b.grant.ID.Job {
+			return int(int64(a.grant.ID.Job) - int64(b.grant.ID.Job))
+		}
+		return int(a.grant.ID.Task) - int(b.grant.ID.Task)
+	})
+	return runs
+}
+
+func (c *Core) resumeRuns(l *link) {
+	for _, r := range c.runsOf(l) {
+		r.link = l
+		c.fireRun(r, runEvents.Resumed)
+	}
+}
+
+func (c *Core) abandonRuns(l *link) {
+	for _, r := range c.runsOf(l) {
+		c.fireRun(r, runEvents.EntryGone)
+	}
+}
--- /dev/null
+++ b/internal/agent/slot.go
@@ -0,0 +1,269 @@
+package agent
+
+import (
+	"cactuspost.example/internal/chart"
+	"cactuspost.example/internal/structs"
+)
+
+// slot is one of the endpoint's places for a running task.
+type slot struct {
+	state chart.State
+	// link is the entry that holds the credit, or that used the slot last.
+	link *link
+	// reserved says that the credit is a Short one.
+	reserved bool
+	long     bool
+	// returned says that a task of link has just left the slot, so that a new
+	// credit travels with its result.
+	returned bool
+}
+
+func (c *Core) fireSlot(s *slot, e chart.Event, r *run) {
+	slotChart.Fire(&s.state, e, slotStep{core: c, slot: s, run: r})
+}
+
+func (c *Core) offer(s *slot, l *link, reserved bool) {
+	slotChart.Fire(&s.state, slotEvents.Offer, slotStep{core: c, slot: s, link: l, reserved: reserved})
+}
+
+func (c *Core) assignSlot(s *slot, l *link, reserved bool) {
+	s.link = l
+	s.reserved = reserved
+	s.returned = false
+	offered := &l.message().Offered
+	if reserved {
+		l.credits.Short++
+		offered.Short++
+		return
+	}
+	l.credits.Any++
+	offered.Any++
+	c.offeredAny++
+}
+
+// withdrawSlot takes a credit back. The entry is told, unless its link is down:
+// then it has dropped its credits by itself.
+func (c *Core) withdrawSlot(s *slot) {
+	c.dropCredit(s)
+	if !s.link.greeted {
+		return
+	}
+	revoked := &s.link.message().Revoked
+	if s.reserved {
+		revoked.Short++
+	} else {
+		revoked.Any++
+	}
+}
+
+func (c *Core) dropCredit(s *slot) {
+	if s.reserved {
+		s.link.credits.Short--
+		return
+	}
+	s.link.credits.Any--
+	c.offeredAny--
+}
+
+func (c *Core) occupySlot(s *slot, r *run) {
+	c.dropCredit(s)
+	s.long = r.grant.Long
+	if s.long {
+		c.busyLong++
+	}
+}
+
+func (c *Core) vacateSlot(s *slot) {
+	if s.long {
+		c.busyLong--
+	}
+	s.long = false
+	s.returned = true
+}
+
+// offeredSlot returns a slot whose credit of the class the entry holds, or nil.
+func (c *Core) offeredSlot(l *link, reserved bool) *slot {
+	for _, s := range c.slots {
+		if s.state == slotStates.Offered && s.link == l && s.reserved == reserved {
+			return s
+		}
+	}
+	return nil
+}
+
+// withdrawCredits takes back the credits of one entry.
+func (c *Core) withdrawCredits(l *link) {
+	for _, s := range c.slots {
+		if s.state == slotStates.Offered && s.link == l {
+			c.fireSlot(s, slotEvents.LinkLost, nil)
+		}
+	}
+}
+
+// takeDemand replaces an entry's demand. If no slot is free, credits that other
+// entries hold unused are taken back for it.
+func (c *Core) takeDemand(l *link, d *structs.Demand) {
+	l.demand = *d
+	l.headSince = c.now.Add(-d.HeadAge)
+	if l.entryLeaving {
+		l.demand = structs.Demand{}
+		return
+	}
+	need := int(l.wanted()) - c.count(slotStates.Free) - int(l.credits.Total())
+	for _, s := range c.slots {
+		if need <= 0 {
+			return
+		}
+		if s.state == slotStates.Offered && s.link != l && s.link.wanted() == 0 {
+			c.fireSlot(s, slotEvents.Revoke, nil)
+			need--
+		}
+	}
+	c.convert(l)
+}
+
+// convert takes back Short credits when long tasks wait and may have the slots.
+func (c *Core) convert(l *link) {
+	need := int(l.demand.Long) - c.count(slotStates.Free) - int(l.credits.Any)
+	room := c.anyRoom() - c.count(slotStates.Free)
+	for _, s := range c.slots {
+		if need <= 0 || room <= 0 {
+			return
+		}
+		if s.state == slotStates.Offered && s.reserved {
+			c.fireSlot(s, slotEvents.Revoke, nil)
+			need--
+			room--
+		}
+	}
+}
+
+// rebalance takes unused credits back from entries that hold more than an even
+// share, for one that has just connected.
+func (c *Core) rebalance(l *link) {
+	if l.credits.Total() > 0 {
+		return
+	}
+	up := 1
+	for _, other := range c.links {
+		if other != l && other.takesCredits() {
+			up++
+		}
+	}
+	even := uint32(len(c.slots) / up)
+	need := even
+	for _, s := range c.slots {
+		if need == 0 {
+			return
+		}
+		if s.state == slotStates.Offered && s.link != l && s.link.wanted() == 0 && s.link.credits.Total() > even {
+			c.fireSlot(s, slotEvents.Revoke, nil)
+			need--
+		}
+	}
+}
+
+func (c *Core) count(state chart.State) int {
+	n := 0
+	for _, s := range c.slots {
+		if s.state == state {
+			n++
+		}
+	}
+	return n
+}
+
+// anyRoom is the number of further slots that may be offered to long tasks.
+func (c *Core) anyRoom() int {
+	return len(c.slots) - c.reserve() - c.offeredAny - c.busyLong
+}
+
+func (c *Core) bufferFull() bool {
+	return c.unacked+c.count(slotStates.Busy) >= c.opts.UnackedLimit
+}
+
+// allocate offers the free slots.
+func (c *Core) allocate() {
+	if !c.endpointUp || c.leaving() {
+		return
+	}
+	if c.bufferFull() {
+		c.withdrawAll()
+		return
+	}
+	for _, s := range c.slots {
+		if s.state == slotStates.Free {
+			c.allocateSlot(s)
+		}
+	}
+}
+
+func (c *Core) allocateSlot(s *slot) {
+	reserved := c.anyRoom() <= 0
+	if l := c.longestWaiting(reserved); l != nil {
+		l.consumeDemand(reserved)
+		c.offer(s, l, reserved)
+		return
+	}
+	if l := c.defaultLink(s); l != nil {
+		c.offer(s, l, reserved)
+	}
+}
+
+// longestWaiting returns the entry whose next task has waited longest and could
+// use a credit of the class, or nil.
+func (c *Core) longestWaiting(reserved bool) *link {
+	var best *link
+	for _, l := range c.links {
+		wants := l.demand.Short > 0 || (!reserved && l.demand.Long > 0)
+		if !wants || !l.takesCredits() {
+			continue
+		}
+		if best == nil || l.headSince.Before(best.headSince) {
+			best = l
+		}
+	}
+	return best
+}
+
+func (l *link) takesCredits() bool { return l.state == linkStates.Up && !l.entryLeaving }
+
+func (l *link) consumeDemand(reserved bool) {
+	if !reserved && l.demand.Long > 0 {
+		l.demand.Long--
+		return
+	}
+	l.demand.Short--
+}
+
+// defaultLink chooses the entry for a slot that nobody asks for: the one whose
+// task has just left it, since the credit then travels with the result, unless
+// another holds clearly fewer.
+func (c *Core) defaultLink(s *slot) *link {
+	var fewest *link
+	for _, l := range c.links {
+		if l.takesCredits() && (fewest == nil || l.credits.Total() < fewest.credits.Total()) {
+			fewest = l
+		}
+	}
+	if fewest == nil || !s.returned || !s.link.takesCredits() {
+		return fewest
+	}
+	if s.link.credits.Total() > fewest.credits.Total()+1 {
+		return fewest
+	}
+	return s.link
+}
+
+// reserveChanged is the reason to look at the credits again after a new
+// configuration: there may be more Any credits than the reserve now allows.
+func (c *Core) reserveChanged() {
+	for _, s := range c.slots {
+		if c.anyRoom() >= 0 {
+			return
+		}
+		if s.state == slotStates.Offered && !s.reserved {
+			c.fireSlot(s, slotEvents.Revoke, nil)
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/admission.go
@@ -0,0 +1,215 @@
+package dispatch
+
+import (
+	"time"
+
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/structs"
+)
+
+const (
+	// MaxCreate bounds the ids that one CreateJobs may ask for.
+	MaxCreate = 1000
+	// shedRetry is when a shed job is worth another try.
+	shedRetry = time.Second
+	// startRetry is when to try again at an instance that isn't ready.
+	startRetry = time.Second
+	// minRetry is the least time to come back after a refusal.
+	minRetry = 100 * time.Millisecond
+	// admittedShare is the part of the objective that the estimated wait may
+	// fill; the rest is for the error of the estimate.
+	admittedShare = 0.8
+)
+
+// checkCreate returns the service that new jobs would use, or a failure.
+func (c *Core) checkCreate(m *CreateJobs) (*structs.Service, *failure.Failure) {
+	if c.leaving() {
+		return nil, drainingFailure()
+	}
+	service, f := c.service(m.Team, m.Service)
+	if f != nil {
+		return nil, f
+	}
+	if m.Count < 1 || m.Count > MaxCreate {
+		return nil, failure.Newf(failure.Invalid, failure.NotRun, "count is %d, 1 to %d are allowed", m.Count, MaxCreate)
+	}
+	if len(c.jobs)+m.Count > c.tuning.MaxJobs {
+		return nil, failure.New(failure.Overloaded, failure.NotRun, "too many jobs are remembered").WithRetry(startRetry)
+	}
+	return service, nil
+}
+
+func drainingFailure() *failure.Failure {
+	return failure.New(failure.Draining, failure.NotRun, "this entry is leaving; ask another").WithRetry(minRetry)
+}
+
+// service returns a service that the team may use, or a failure.
+func (c *Core) service(team, name string) (*structs.Service, *failure.Failure) {
+	if c.doc == nil {
+		return nil, failure.New(failure.NoConfiguration, failure.NotRun, "no configuration is known yet").WithRetry(startRetry)
+	}
+	service, ok := c.doc.Services[name]
+	if !ok {
+		return nil, failure.Newf(failure.UnknownService, failure.NotRun, "service %q", name)
+	}
+	if _, ok := c.doc.Teams[team].Quotas[name]; !ok {
+		return nil, failure.Newf(failure.Forbidden, failure.NotRun, "team %q has no quota for service %q", team, name)
+	}
+	return &service, nil
+}
+
+func (c *Core) weight(team, service string) float64 {
+	if weight := c.doc.Teams[team].Quotas[service]; weight > 0 {
+		return weight
+	}
+	return 1
+}
+
+// admit decides on the first submission of a job and keeps the reason of a
+// refusal in the job.
+func (c *Core) admit(j *job, m *SubmitJob) bool {
+	j.refusal = c.checkSubmission(j, &m.Submission)
+	return j.refusal == nil
+}
+
+func (c *Core) checkSubmission(j *job, s *structs.Submission) *failure.Failure {
+	if c.leaving() {
+		return drainingFailure()
+	}
+	service, f := c.service(j.team, j.service)
+	if f != nil {
+		return f
+	}
+	if s.Service != j.service {
+		return failure.Newf(failure.Invalid, failure.NotRun, "the id was issued for service %q", j.service)
+	}
+	if f := checkSizes(service, s); f != nil {
+		return f
+	}
+	p := c.pool(service.Pool)
+	if f := p.checkNeeds(s.Needs); f != nil {
+		return f
+	}
+	return c.checkLoad(p, service, j, s)
+}
+
+func checkSizes(service *structs.Service, s *structs.Submission) *failure.Failure {
+	if len(s.Tasks) == 0 {
+		return failure.New(failure.Invalid, failure.NotRun, "the job has no tasks")
+	}
+	if len(s.Tasks) > service.MaxTasks {
+		return failure.Newf(failure.TooLarge, failure.NotRun, "%d tasks, at most %d are allowed", len(s.Tasks), service.MaxTasks)
+	}
+	for i := range s.Tasks {
+		if size := len(s.Tasks[i].Payload); size > service.MaxTaskBytes {
+			return failure.Newf(failure.TooLarge, failure.NotRun, "task %d has %d bytes, at most %d are allowed", i, size, service.MaxTaskBytes)
+		}
+	}
+	return nil
+}
+
+// checkNeeds refuses jobs that no worker of the pool could ever run.
+func (p *pool) checkNeeds(needs structs.Needs) *failure.Failure {
+	if len(p.sessions) == 0 {
+		return failure.Newf(failure.Unavailable, failure.NotRun, "no worker of pool %q is known", p.name).WithRetry(startRetry)
+	}
+	for _, s := range p.sessions {
+		if needs.Fits(s.capacity) {
+			return nil
+		}
+	}
+	return failure.Newf(failure.NeverRuns, failure.NotRun, "no worker of pool %q is large enough", p.name)
+}
+
+// checkLoad refuses what would wait longer than the service's objective.
+func (c *Core) checkLoad(p *pool, service *structs.Service, j *job, s *structs.Submission) *failure.Failure {
+	a := p.account(j.team)
+	if most := c.doc.Teams[j.team].MaxWaiting; most > 0 && a.waiting+len(s.Tasks) > most {
+		return failure.Newf(failure.QuotaExceeded, failure.NotRun, "the team may have %d waiting tasks", most).WithRetry(startRetry)
+	}
+	if c.waitingBytes > c.tuning.MaxWaitingBytes {
+		return failure.New(failure.Overloaded, failure.NotRun, "too many bytes wait").WithRetry(startRetry)
+	}
+	wait := c.expectedWait(p, j, s)
+	objective := service.StartObjective.Duration()
+	if wait.Seconds() <= admittedShare*objective.Seconds() {
+		return nil
+	}
+	retry := max(minRetry, wait-objective/2)
+	return failure.New(failure.Overloaded, failure.NotRun, "the job would start after its objective").WithRetry(retry)
+}
+
+// expectedWait estimates when the job's last task would start: the slot time
+// that waits before it, over the slots that its team may use.
+func (c *Core) expectedWait(p *pool, j *job, s *structs.Submission) time.Duration {
+	free := p.freeCredits() - p.waiting
+	if free >= len(s.Tasks) {
+		return 0
+	}
+	a := p.account(j.team)
+	work := a.waitingCost
+	for i := range s.Tasks {
+		work += c.estimate(c.kind(j.service, s.Tasks[i].Kind), s.Tasks[i].Declared)
+	}
+	slots := c.usableSlots(p) * c.teamShare(p, j)
+	return time.Duration(float64(work) / slots)
+}
+
+// usableSlots estimates how many of the pool's slots serve this entry: those
+// that it uses now, or an even share if that is more.
+func (c *Core) usableSlots(p *pool) float64 {
+	total := 0
+	for _, s := range p.sessions {
+		if s.state == sessionStates.Up {
+			total += int(s.slots)
+		}
+	}
+	even := float64(total) / float64(max(1, len(c.peers)))
+	return max(1, even, float64(p.running+max(0, p.freeCredits())))
+}
+
+// teamShare returns the part of the slots that the team gets while the teams
+// that wait now compete, 0 to 1.
+func (c *Core) teamShare(p *pool, j *job) float64 {
+	own := c.weight(j.team, j.service)
+	sum := own
+	counted := map[string]bool{j.team: true}
+	for _, l := range p.ordered {
+		if l.waiting > 0 && !counted[l.team] {
+			counted[l.team] = true
+			sum += l.weight
+		}
+	}
+	return own / sum
+}
+
+func (p *pool) freeCredits() int {
+	free := 0
+	for _, s := range p.sessions {
+		if s.state == sessionStates.Up && s.health == healthStates.Healthy {
+			free += max(0, s.credits.any) + max(0, s.credits.short)
+		}
+	}
+	return free
+}
+
+// shedLate ends jobs that could not start within their objective. Only jobs of
+// which no task has started are shed, so that their refusal is true.
+func (c *Core) shedLate() {
+	for _, p := range c.pools {
+		for _, l := range p.ordered {
+			c.shedLane(l)
+		}
+	}
+}
+
+func (c *Core) shedLane(l *lane) {
+	for l.waiting > 0 && c.overdue(l) {
+		j := l.first().job
+		c.fireJob(j, jobEvents.Shed, nil)
+		if !j.ended() {
+			// Parts of the job have started; its other tasks keep their place.
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/charts.go
@@ -0,0 +1,205 @@
+package dispatch
+
+import (
+	"cactuspost.example/charts"
+	"cactuspost.example/internal/chart"
+	"cactuspost.example/internal/structs"
+)
+
+// The machines are set by init, since their actions refer to them.
+var (
+	taskChart    *chart.Machine[taskStep]
+	jobChart     *chart.Machine[jobStep]
+	sessionChart *chart.Machine[sessionStep]
+	healthChart  *chart.Machine[healthStep]
+	drainChart   *chart.Machine[*Core]
+)
+
+// taskStep is the context of chart task: one task and, for the end of a grant,
+// the agent's result.
+type taskStep struct {
+	core   *Core
+	task   *task
+	holder *session
+	result *structs.Result
+}
+
+func compileTaskChart() *chart.Machine[taskStep] {
+	return chart.MustCompile(charts.Files, "task", chart.Bindings[taskStep]{
+		Actions: map[string]func(taskStep){
+			"bind_grant":     func(s taskStep) { s.core.bindGrant(s.task, s.holder) },
+			"release_grant":  func(s taskStep) { s.core.releaseGrant(s.task) },
+			"requeue":        func(s taskStep) { s.core.requeue(s.task) },
+			"leave_queue":    func(s taskStep) { s.task.lane.leave(s.task) },
+			"keep_result":    func(s taskStep) { s.task.result = s.result.Payload },
+			"record_failure": func(s taskStep) { s.task.job.cause = failureOf(s.task, s.result) },
+			"record_loss":    func(s taskStep) { s.task.job.cause = lossOf(s.task) },
+			"send_cancel":    func(s taskStep) { s.core.sendCancel(s.task) },
+		},
+	})
+}
+
+var taskEvents struct {
+	Grant     chart.Event `chart:"grant"`
+	Refused   chart.Event `chart:"refused"`
+	Succeeded chart.Event `chart:"succeeded"`
+	Errored   chart.Event `chart:"errored"`
+	LinkLost  chart.Event `chart:"link_lost"`
+	Listed    chart.Event `chart:"listed"`
+	Unlisted  chart.Event `chart:"unlisted"`
+	AgentGone chart.Event `chart:"agent_gone"`
+	JobOver   chart.Event `chart:"job_over"`
+}
+
+var taskStates struct {
+	Waiting   chart.State `chart:"waiting"`
+	Granted   chart.State `chart:"granted"`
+	Uncertain chart.State `chart:"uncertain"`
+	Stopping  chart.State `chart:"stopping"`
+	Done      chart.State `chart:"done"`
+	Failed    chart.State `chart:"failed"`
+	Dropped   chart.State `chart:"dropped"`
+	Ended     chart.State `chart:"ended"`
+}
+
+// jobStep is the context of chart job.
+type jobStep struct {
+	core   *Core
+	job    *job
+	submit *SubmitJob
+}
+
+func compileJobChart() *chart.Machine[jobStep] {
+	return chart.MustCompile(charts.Files, "job", chart.Bindings[jobStep]{
+		Guards: map[string]func(jobStep) bool{
+			"admitted":  func(s jobStep) bool { return s.core.admit(s.job, s.submit) },
+			"all_done":  func(s jobStep) bool { return s.job.done == len(s.job.tasks) },
+			"untouched": func(s jobStep) bool { return s.job.untouched() },
+		},
+		Actions: map[string]func(jobStep){
+			"accept":          func(s jobStep) { s.core.accept(s.job, s.submit) },
+			"answer_complete": func(s jobStep) { s.core.complete(s.job) },
+			"fail_by_task":    func(s jobStep) { s.core.fail(s.job, s.job.cause) },
+			"fail_shed":       func(s jobStep) { s.core.fail(s.job, shedFailure(s.job)) },
+			"fail_cancelled":  func(s jobStep) { s.core.fail(s.job, cancelFailure(s.job)) },
+			"fail_expired":    func(s jobStep) { s.core.fail(s.job, expiryFailure(s.job)) },
+			"stop_tasks":      func(s jobStep) { s.core.stopTasks(s.job) },
+		},
+	})
+}
+
+var jobEvents struct {
+	Submit     chart.Event `chart:"submit"`
+	TaskDone   chart.Event `chart:"task_done"`
+	TaskFailed chart.Event `chart:"task_failed"`
+	Shed       chart.Event `chart:"shed"`
+	Cancel     chart.Event `chart:"cancel"`
+	Expire     chart.Event `chart:"expire"`
+}
+
+var jobStates struct {
+	Created  chart.State `chart:"created"`
+	Open     chart.State `chart:"open"`
+	Complete chart.State `chart:"complete"`
+	Failed   chart.State `chart:"failed"`
+}
+
+// sessionStep is the context of chart session.
+type sessionStep struct {
+	core    *Core
+	session *session
+	hello   *structs.Hello
+}
+
+func compileSessionChart() *chart.Machine[sessionStep] {
+	return chart.MustCompile(charts.Files, "session", chart.Bindings[sessionStep]{
+		Actions: map[string]func(sessionStep){
+			"drop_credits":   func(s sessionStep) { s.session.credits = creditCount{} },
+			"suspend_grants": func(s sessionStep) { s.core.suspendGrants(s.session) },
+			"reconcile":      func(s sessionStep) { s.core.reconcile(s.session, s.hello.Held) },
+			"lose_grants":    func(s sessionStep) { s.core.loseGrants(s.session) },
+			"start_grace":    func(s sessionStep) { s.session.graceEnd = s.core.now.Add(s.core.tuning.AgentGrace) },
+		},
+	})
+}
+
+var sessionEvents struct {
+	Hello     chart.Event `chart:"hello"`
+	Replaced  chart.Event `chart:"replaced"`
+	LinkLost  chart.Event `chart:"link_lost"`
+	Left      chart.Event `chart:"left"`
+	GraceOver chart.Event `chart:"grace_over"`
+}
+
+var sessionStates struct {
+	Up      chart.State `chart:"up"`
+	Leaving chart.State `chart:"leaving"`
+	Lost    chart.State `chart:"lost"`
+	Gone    chart.State `chart:"gone"`
+}
+
+// healthStep is the context of chart health.
+type healthStep struct {
+	core    *Core
+	session *session
+}
+
+func compileHealthChart() *chart.Machine[healthStep] {
+	return chart.MustCompile(charts.Files, "health", chart.Bindings[healthStep]{
+		Guards: map[string]func(healthStep) bool{
+			"stays": func(s healthStep) bool { return !s.core.shouldEject(s.session) },
+		},
+		Actions: map[string]func(healthStep){
+			"count_success": func(s healthStep) { s.session.countOutcome(0) },
+			"count_failure": func(s healthStep) { s.session.countOutcome(1) },
+			"start_cooling": func(s healthStep) { s.core.startCooling(s.session) },
+			"forgive":       func(s healthStep) { s.core.forgive(s.session) },
+		},
+	})
+}
+
+var healthEvents struct {
+	Succeeded chart.Event `chart:"succeeded"`
+	Failed    chart.Event `chart:"failed"`
+	Granted   chart.Event `chart:"granted"`
+	Returned  chart.Event `chart:"returned"`
+	Cooled    chart.Event `chart:"cooled"`
+}
+
+var healthStates struct {
+	Healthy   chart.State `chart:"healthy"`
+	Probation chart.State `chart:"probation"`
+	Trial     chart.State `chart:"trial"`
+	Tried     chart.State `chart:"tried"`
+}
+
+func compileDrainChart() *chart.Machine[*Core] {
+	return chart.MustCompile(charts.Files, "drain", chart.Bindings[*Core]{
+		Actions: map[string]func(*Core){
+			"announce": (*Core).announceDrain,
+			"finish":   func(c *Core) { c.emit(&Drained{}) },
+		},
+	})
+}
+
+var drainEvents struct {
+	Stop chart.Event `chart:"stop"`
+	Idle chart.Event `chart:"idle"`
+}
+
+func init() {
+	taskChart = compileTaskChart()
+	jobChart = compileJobChart()
+	sessionChart = compileSessionChart()
+	healthChart = compileHealthChart()
+	drainChart = compileDrainChart()
+	taskChart.MustNames(&taskEvents)
+	taskChart.MustNames(&taskStates)
+	jobChart.MustNames(&jobEvents)
+	jobChart.MustNames(&jobStates)
+	sessionChart.MustNames(&sessionEvents)
+	sessionChart.MustNames(&sessionStates)
+	healthChart.MustNames(&healthEvents)
+	healthChart.MustNames(&healthStates)
+	drainChart.MustNames(&drainEvents)
+}
--- /dev/null
+++ b/internal/dispatch/core.go
@@ -0,0 +1,222 @@
+package dispatch
+
+import (
+	"maps"
+	"math/rand/v2"
+	"time"
+
+	"cactuspost.example/internal/chart"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/structs"
+)
+
+// Options configures a Core.
+type Options struct {
+	// Self is this entry as others reach it; its Incarnation must be new.
+	Self structs.Peer
+	// Seed makes the choices among equals repeatable.
+	Seed uint64
+	// Tuning holds the constants of the policy; the zero value means defaults.
+	Tuning Tuning
+}
+
+// Core decides for one entry; see the package comment.
+type Core struct {
+	self   structs.Peer
+	tuning Tuning
+	rng    *rand.Rand
+	now    time.Time
+
+	doc *structs.Document
+	// retired keeps services that were withdrawn, for jobs accepted before.
+	retired map[string]structs.Service
+	peers   []structs.Peer
+	drain   chart.State
+
+	lastSeq  uint64
+	jobs     map[uint64]*job
+	expiries expiryHeap
+	waiters  map[ReplyID]*job
+	// openJobs counts jobs in state open, undelivered ended jobs whose answer
+	// nobody has seen yet.
+	openJobs    int
+	undelivered int
+
+	pools    map[string]*pool
+	sessions map[string]*session
+	links    map[LinkID]*session
+	// closing holds the links that were told to close and may still deliver.
+	closing map[LinkID]bool
+	kinds   map[kindKey]*kind
+
+	waitingBytes int
+	stats        Stats
+	effects      []Effect
+	lastScan     time.Time
+}
+
+// New returns a core that knows no configuration and no agents.
+func New(o Options) *Core {
+	return &Core{
+		self:     o.Self,
+		tuning:   o.Tuning.withDefaults(),
+		rng:      rand.New(rand.NewPCG(o.Seed, uint64(o.Self.Incarnation))),
+		drain:    drainChart.Initial(),
+		jobs:     map[uint64]*job{},
+		waiters:  map[ReplyID]*job{},
+		pools:    map[string]*pool{},
+		sessions: map[string]*session{},
+		links:    map[LinkID]*session{},
+		closing:  map[LinkID]bool{},
+		retired:  map[string]structs.Service{},
+		kinds:    map[kindKey]*kind{},
+	}
+}
+
+// Step handles one message at the given time. Expired jobs end first, so that
+// an entry that was paused never answers for them otherwise.
+func (c *Core) Step(now time.Time, m Message) {
+	c.now = now
+	c.expireJobs()
+	switch m := m.(type) {
+	case *CreateJobs:
+		c.createJobs(m)
+	case *SubmitJob:
+		c.submitJob(m)
+	case *AwaitJob:
+		c.awaitJob(m)
+	case *CancelJob:
+		c.cancelJob(m)
+	case *AbandonReply:
+		c.abandonReply(m)
+	case *AgentMessage:
+		c.agentMessage(m)
+	case *LinkClosed:
+		c.linkClosed(m)
+	case *Configure:
+		c.configure(m.Document)
+	case *SetPeers:
+		c.setPeers(m.Peers)
+	case *Stop:
+		drainChart.Fire(&c.drain, drainEvents.Stop, c)
+	case *Inspect:
+		c.emit(&Inspected{Reply: m.Reply, View: c.view()})
+	}
+}
+
+// Tick does what depends on time alone. Call it about every ten milliseconds.
+func (c *Core) Tick(now time.Time) {
+	c.now = now
+	c.expireJobs()
+	c.shedLate()
+	if now.Sub(c.lastScan) < c.tuning.ScanPeriod {
+		return
+	}
+	c.lastScan = now
+	for _, s := range c.sessions {
+		c.scanSession(s)
+	}
+	for _, p := range c.pools {
+		p.rank()
+	}
+}
+
+// Flush grants waiting tasks and emits the messages collected since the last
+// call. Call it after each batch of messages and after Tick.
+func (c *Core) Flush(now time.Time) {
+	c.now = now
+	for _, p := range c.pools {
+		c.grantWaiting(p)
+		c.requestCredits(p)
+	}
+	for _, s := range c.sessions {
+		c.flushSession(s)
+	}
+	if c.openJobs == 0 && c.undelivered == 0 {
+		drainChart.Fire(&c.drain, drainEvents.Idle, c)
+	}
+}
+
+// Effects returns the effects since the last call.
+func (c *Core) Effects() []Effect {
+	effects := c.effects
+	c.effects = nil
+	return effects
+}
+
+func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
+
+func (c *Core) refuse(reply ReplyID, f *failure.Failure) {
+	if reply != 0 {
+		c.emit(&Refused{Reply: reply, Failure: f})
+	}
+}
+
+func (c *Core) happened(id event.ID, endpoint, detail string) {
+	c.emit(&Happened{Event: id, Endpoint: endpoint, Detail: detail})
+}
+
+func (c *Core) configure(doc *structs.Document) {
+	if doc == nil || (c.doc != nil && doc.Revision <= c.doc.Revision) {
+		return
+	}
+	if c.doc != nil {
+		maps.Copy(c.retired, c.doc.Services)
+	}
+	c.doc = doc
+	for _, s := range c.links {
+		s.message().Config = doc
+	}
+}
+
+func (c *Core) revision() uint64 {
+	if c.doc == nil {
+		return 0
+	}
+	return c.doc.Revision
+}
+
+// serviceOf returns a service's settings, also after it was withdrawn.
+func (c *Core) serviceOf(name string) structs.Service {
+	if service, ok := c.doc.Services[name]; ok {
+		return service
+	}
+	return c.retired[name]
+}
+
+func (c *Core) closeLink(link LinkID) {
+	c.closing[link] = true
+	c.emit(&CloseLink{Link: link})
+}
+
+func (c *Core) setPeers(peers []structs.Peer) {
+	c.peers = peers
+	for _, s := range c.links {
+		s.message().Peers = peers
+	}
+}
+
+func (c *Core) leaving() bool { return c.drain != drainChart.Initial() }
+
+// announceDrain tells the agents that no more grants will come.
+func (c *Core) announceDrain() {
+	for _, s := range c.links {
+		s.message().Leaving = true
+	}
+}
+
+func (c *Core) view() View {
+	v := View{
+		Entry: c.self, Revision: c.revision(), Leaving: c.leaving(),
+		OpenJobs: c.openJobs, Stats: c.stats,
+	}
+	for _, p := range c.pools {
+		v.Waiting += p.waiting
+		v.Running += p.running
+	}
+	for _, s := range c.sessions {
+		v.Endpoints = append(v.Endpoints, s.view())
+	}
+	return v
+}
--- /dev/null
+++ b/internal/dispatch/grant.go
@@ -0,0 +1,118 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cactuspost.example/internal/structs"
+)
+
+// rank orders the pool's workers, fastest first.
+func (p *pool) rank() {
+	slices.SortStableFunc(p.sessions, func(a, b *session) int {
+		return cmp.Compare(a.logSlowness, b.logSlowness)
+	})
+}
+
+// grantWaiting hands waiting tasks to workers for as long as there are both
+// tasks and credits that fit.
+func (c *Core) grantWaiting(p *pool) {
+	if p.waiting == 0 {
+		return
+	}
+	blocked := map[*lane]bool{}
+	for {
+		l := c.nextLane(p, blocked)
+		if l == nil {
+			return
+		}
+		t := l.first()
+		if c.reclassify(t) {
+			continue
+		}
+		s := p.place(t)
+		if s == nil {
+			blocked[l] = true
+			continue
+		}
+		c.grant(t, s)
+	}
+}
+
+// nextLane returns the lane to serve next, leaving out the blocked ones.
+func (c *Core) nextLane(p *pool, blocked map[*lane]bool) *lane {
+	var best *lane
+	for _, l := range p.ordered {
+		if l.waiting == 0 || blocked[l] {
+			continue
+		}
+		if best == nil || l.before(best, c.now, c.overdue) {
+			best = l
+		}
+	}
+	return best
+}
+
+// overdue reports whether a lane's first task has waited past its objective.
+func (c *Core) overdue(l *lane) bool {
+	return c.now.Sub(l.first().queuedAt) > c.objective(l.service)
+}
+
+func (c *Core) objective(service string) time.Duration {
+	return c.serviceOf(service).StartObjective.Duration()
+}
+
+// reclassify moves a task whose kind has become long, or short, since it was
+// queued, to the lane where it belongs now.
+func (c *Core) reclassify(t *task) bool {
+	long := c.isLong(t.kind, t.declared)
+	if long == t.lane.long {
+		return false
+	}
+	key := t.lane.laneKey
+	key.long = long
+	t.lane.pop()
+	t.lane = t.lane.pool.lane(key)
+	t.lane.weight = c.weight(key.team, key.service)
+	t.lane.pushBack(t)
+	return true
+}
+
+// place returns the fastest worker with a credit for the task, or nil.
+func (p *pool) place(t *task) *session {
+	for _, s := range p.sessions {
+		if s.accepts(t) {
+			return s
+		}
+	}
+	return nil
+}
+
+func (s *session) accepts(t *task) bool {
+	if s.state != sessionStates.Up || s.health == healthStates.Probation || s.health == healthStates.Tried {
+		return false
+	}
+	if s.credits.any <= 0 && (t.lane.long || s.credits.short <= 0) {
+		return false
+	}
+	return t.lane.needs.Fits(s.capacity)
+}
+
+// grant sends a task to a worker.
+func (c *Core) grant(t *task, s *session) {
+	t.lane.pop()
+	t.reserved = !t.lane.long && s.credits.short > 0
+	s.credits.add(t.reserved, -1)
+	c.waitingBytes -= len(t.payload)
+	c.fireTask(t, taskEvents.Grant, s, nil)
+	c.fireHealth(s, healthEvents.Granted)
+	m := s.message()
+	m.Grants = append(m.Grants, structs.Grant{
+		ID: t.grantID(), Service: t.job.service, Kind: t.kind.name, Long: t.lane.long, Reserved: t.reserved,
+		Limit: c.serviceOf(t.job.service).TaskLimit.Duration(), Payload: t.payload,
+	})
+	m.Demand = s.pool.demand(c.now, s.slots)
+	s.demanded = *m.Demand
+	s.demandedAt = c.now
+}
--- /dev/null
+++ b/internal/dispatch/kinds.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// kindKey names a kind of task within its service.
+type kindKey struct{ service, kind string }
+
+// kind holds what is learnt about the run times of like tasks.
+type kind struct {
+	name    string
+	samples int
+	// mean is the smoothed run time in seconds, logMean that of its logarithm,
+	// which a few stragglers hardly move.
+	mean    float64
+	logMean float64
+	// limit is the estimate of source Corrected, in seconds.
+	limit float64
+}
+
+const (
+	// kindSmoothing is the weight of a new run time in a kind's means.
+	kindSmoothing = 0.05
+	// firstSamples is the number of run times that are averaged evenly.
+	firstSamples = 20
+	// maxKinds bounds the kinds that are told apart; others share one estimate.
+	maxKinds = 10_000
+)
+
+func (c *Core) kind(service, name string) *kind {
+	key := kindKey{service, name}
+	k := c.kinds[key]
+	if k != nil {
+		return k
+	}
+	if len(c.kinds) >= maxKinds {
+		key = kindKey{service: service}
+		if k = c.kinds[key]; k != nil {
+			return k
+		}
+	}
+	k = &kind{name: name, limit: c.tuning.FirstEstimate.Seconds()}
+	c.kinds[key] = k
+	return k
+}
+
+// observe learns from the run time of a successful task.
+func (k *kind) observe(run time.Duration) {
+	seconds := max(run.Seconds(), 1e-6)
+	k.samples++
+	weight := max(kindSmoothing, 1/float64(min(k.samples, firstSamples)))
+	k.mean += weight * (seconds - k.mean)
+	k.logMean += weight * (math.Log(seconds) - k.logMean)
+	k.limit = max(k.limit, seconds)
+}
+
+// overran corrects the kind for a task that still runs after the given time.
+func (k *kind) overran(elapsed time.Duration) {
+	seconds := elapsed.Seconds()
+	for k.limit < seconds {
+		k.limit *= 2
+	}
+	if k.samples == 0 {
+		k.mean = max(k.mean, seconds)
+		k.logMean = math.Log(k.mean)
+	}
+}
+
+// estimate returns the expected slot time of a task.
+func (c *Core) estimate(k *kind, declared time.Duration) time.Duration {
+	switch {
+	case c.tuning.Estimates == Declared && declared > 0:
+		return declared
+	case c.tuning.Estimates == Corrected:
+		return time.Duration(k.limit * float64(time.Second))
+	case k.mean == 0:
+		return c.tuning.FirstEstimate
+	default:
+		return time.Duration(k.mean * float64(time.Second))
+	}
+}
+
+// isLong reports whether tasks of a kind count as long.
+func (c *Core) isLong(k *kind, declared time.Duration) bool {
+	if c.tuning.Estimates != Observed {
+		return c.estimate(k, declared) >= c.tuning.LongTask
+	}
+	return k.mean > 0 && math.Exp(k.logMean) >= c.tuning.LongTask.Seconds()
+}
--- /dev/null
+++ b/internal/dispatch/queue.go
@@ -0,0 +1,185 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"cactuspost.example/internal/structs"
+)
+
+// pool is the workers that serve a set of services, with the tasks that wait
+// for them.
+type pool struct {
+	name     string
+	sessions []*session
+	lanes    map[laneKey]*lane
+	// ordered holds the lanes in the order of their creation, so that choices
+	// among equals are repeatable.
+	ordered []*lane
+	teams   map[string]*account
+	// virtual is the lowest virtual time of a team that was served last.
+	virtual float64
+	waiting int
+	running int
+	// failures is the smoothed share of failed tasks over all workers.
+	failures float64
+}
+
+// account is a team's use of a pool, for weighted fair queueing.
+type account struct {
+	// virtual is slot time in seconds divided by weight.
+	virtual float64
+	waiting int
+	// waitingCost is the estimated slot time of the waiting tasks.
+	waitingCost time.Duration
+}
+
+// laneKey names the tasks that are alike to the policy.
+type laneKey struct {
+	team, service string
+	needs         structs.Needs
+	long          bool
+}
+
+// lane is a first-in first-out queue of like tasks. Tasks that leave out of
+// order stay in the slice and are skipped at its head.
+type lane struct {
+	laneKey
+	pool    *pool
+	account *account
+	weight  float64
+	tasks   []*task
+	head    int
+	waiting int
+}
+
+func (c *Core) pool(name string) *pool {
+	p := c.pools[name]
+	if p == nil {
+		p = &pool{name: name, lanes: map[laneKey]*lane{}, teams: map[string]*account{}}
+		c.pools[name] = p
+	}
+	return p
+}
+
+func (p *pool) account(team string) *account {
+	a := p.teams[team]
+	if a == nil {
+		a = &account{}
+		p.teams[team] = a
+	}
+	return a
+}
+
+func (p *pool) lane(key laneKey) *lane {
+	l := p.lanes[key]
+	if l == nil {
+		l = &lane{laneKey: key, pool: p, account: p.account(key.team), weight: 1}
+		p.lanes[key] = l
+		p.ordered = append(p.ordered, l)
+	}
+	return l
+}
+
+func (l *lane) pushBack(t *task) {
+	l.tasks = append(l.tasks, t)
+	l.joined(t)
+}
+
+func (l *lane) pushFront(t *task) {
+	if l.head > 0 {
+		l.head--
+		l.tasks[l.head] = t
+	} else {
+		l.tasks = slices.Insert(l.tasks, 0, t)
+	}
+	l.joined(t)
+}
+
+func (l *lane) joined(t *task) {
+	t.queued = true
+	l.waiting++
+	l.pool.waiting++
+	a := l.account
+	if a.waiting == 0 {
+		// A team that was idle starts level with the others: unused shares are
+		// not saved up.
+		a.virtual = max(a.virtual, l.pool.virtual)
+	}
+	a.waiting++
+	a.waitingCost += t.cost
+}
+
+// leave takes a waiting task out; its place in the slice is skipped later.
+func (l *lane) leave(t *task) {
+	t.queued = false
+	l.waiting--
+	l.pool.waiting--
+	l.account.waiting--
+	l.account.waitingCost -= t.cost
+	if l.waiting == 0 {
+		l.tasks = nil
+		l.head = 0
+	}
+}
+
+// first returns the task that waits longest, or nil.
+func (l *lane) first() *task {
+	for l.head < len(l.tasks) {
+		t := l.tasks[l.head]
+		if t != nil && t.queued {
+			return t
+		}
+		l.skip()
+	}
+	return nil
+}
+
+// pop removes the task that first returned.
+func (l *lane) pop() {
+	t := l.tasks[l.head]
+	l.skip()
+	l.leave(t)
+}
+
+func (l *lane) skip() {
+	l.tasks[l.head] = nil
+	l.head++
+	if l.head == len(l.tasks) {
+		l.tasks = l.tasks[:0]
+		l.head = 0
+	} else if l.head > 1024 && l.head*2 > len(l.tasks) {
+		l.tasks = slices.Delete(l.tasks, 0, l.head)
+		l.head = 0
+	}
+}
+
+// charge adds slot time to the team's account as a task is granted.
+func (l *lane) charge(cost time.Duration) {
+	l.pool.virtual = max(l.pool.virtual, l.account.virtual)
+	l.adjust(cost)
+}
+
+// adjust corrects the team's account by a difference of slot time.
+func (l *lane) adjust(difference time.Duration) {
+	l.account.virtual += difference.Seconds() / l.weight
+}
+
+// before decides which of two lanes with waiting tasks is served first.
+func (l *lane) before(other *lane, now time.Time, overdue func(*lane) bool) bool {
+	if l.account != other.account {
+		return l.account.virtual < other.account.virtual
+	}
+	if l.long != other.long {
+		late := l
+		if other.long {
+			late = other
+		}
+		// Within a team short tasks go first, but a long one that has waited
+		// past its objective is not passed over.
+		if !overdue(late) {
+			return other.long
+		}
+	}
+	return l.first().queuedAt.Before(other.first().queuedAt)
+}
--- /dev/null
+++ b/internal/dispatch/session.go
@@ -0,0 +1,366 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"cactuspost.example/internal/chart"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/structs"
+)
+
+// session is what the entry knows of one agent.
+type session struct {
+	endpoint    string
+	incarnation structs.Incarnation
+	dataCentre  string
+	capacity    structs.Needs
+	slots       uint32
+	pool        *pool
+	state       chart.State
+	// link is zero while the agent isn't connected.
+	link     LinkID
+	graceEnd time.Time
+	revision uint64
+	// ended lists earlier incarnations of the agent; their hellos are refused.
+	ended []structs.Incarnation
+
+	credits creditCount
+	granted map[structs.GrantID]*task
+	// idle is the number of credits that other entries hold unused there.
+	idle uint32
+	// demanded is the demand last sent, demandedAt when.
+	demanded   structs.Demand
+	demandedAt time.Time
+
+	health      chart.State
+	failures    float64
+	outcomes    int
+	coolingEnd  time.Time
+	coolings    int
+	logSlowness float64
+
+	// out collects the parts of the next message.
+	out      *structs.FromEntry
+	ackSince time.Time
+}
+
+// creditCount counts the credits held. A count is negative for as long as a
+// revocation and a grant have crossed.
+type creditCount struct{ any, short int }
+
+// unknownSpread is far below any measured difference of slowness.
+const unknownSpread = 1e-6
+
+// endedLimit bounds the incarnations that a session remembers as ended.
+const endedLimit = 8
+
+func (s *session) message() *structs.FromEntry {
+	if s.out == nil {
+		s.out = &structs.FromEntry{}
+	}
+	return s.out
+}
+
+func (s *session) view() EndpointView {
+	return EndpointView{
+		Endpoint: s.endpoint, Agent: s.incarnation, Pool: s.pool.name, DataCentre: s.dataCentre,
+		Session: sessionChart.StateName(s.state), Health: healthChart.StateName(s.health),
+		Slots: s.slots, Running: len(s.granted), Credits: s.credits.any + s.credits.short,
+		Revision: s.revision, Slowness: math.Exp(s.logSlowness),
+	}
+}
+
+func (c *Core) agentMessage(m *AgentMessage) {
+	c.stats.Messages.Frames++
+	if c.closing[m.Link] {
+		return
+	}
+	s := c.links[m.Link]
+	if s == nil {
+		s = c.openLink(m)
+	}
+	if s == nil {
+		return
+	}
+	c.countFrame(m.Message)
+	s.revision = max(s.revision, m.Message.Revision)
+	c.configure(m.Message.Config)
+	c.takeResults(s, m.Message.Results)
+	c.takeRefusals(s, m.Message.Refusals)
+	c.takeCredits(s, m.Message)
+	if m.Message.Leaving && s.state == sessionStates.Up {
+		c.fireSession(s, sessionEvents.Left, nil)
+		c.happened(event.AgentLeft, s.endpoint, "")
+	}
+}
+
+// openLink handles the first message of a link, which has to be a hello.
+func (c *Core) openLink(m *AgentMessage) *session {
+	hello := m.Message.Hello
+	if hello == nil || hello.Endpoint == "" || hello.Pool == "" || hello.Incarnation == 0 {
+		c.happened(event.BadMessageFromAgent, "", "the first message is not a hello")
+		c.closeLink(m.Link)
+		return nil
+	}
+	s := c.sessions[hello.Endpoint]
+	if s != nil && slices.Contains(s.ended, hello.Incarnation) {
+		c.happened(event.BadMessageFromAgent, hello.Endpoint, "an earlier incarnation came back")
+		c.closeLink(m.Link)
+		return nil
+	}
+	if s != nil && s.incarnation != hello.Incarnation {
+		s = c.replaceSession(s, hello)
+	}
+	if s == nil {
+		s = c.newSession(hello)
+	}
+	c.attach(s, m.Link, hello)
+	return s
+}
+
+func (c *Core) newSession(hello *structs.Hello) *session {
+	p := c.pool(hello.Pool)
+	s := &session{
+		endpoint: hello.Endpoint, incarnation: hello.Incarnation, dataCentre: hello.DataCentre,
+		capacity: hello.Capacity, slots: hello.Slots, pool: p,
+		state: sessionChart.Initial(), health: healthChart.Initial(),
+		granted: map[structs.GrantID]*task{},
+		// Workers that nothing is known of stand in a random order.
+		logSlowness: unknownSpread * c.rng.Float64(),
+	}
+	p.sessions = append(p.sessions, s)
+	c.sessions[s.endpoint] = s
+	return s
+}
+
+// replaceSession ends the session of an earlier incarnation. What was learnt
+// about the worker stays.
+func (c *Core) replaceSession(old *session, hello *structs.Hello) *session {
+	c.fireSession(old, sessionEvents.Replaced, nil)
+	c.happened(event.AgentReplaced, old.endpoint, "")
+	c.detach(old)
+	c.removeSession(old)
+	s := c.newSession(hello)
+	s.ended = append(old.ended, old.incarnation)
+	if len(s.ended) > endedLimit {
+		s.ended = s.ended[1:]
+	}
+	s.logSlowness = old.logSlowness
+	return s
+}
+
+func (c *Core) removeSession(s *session) {
+	s.pool.sessions = slices.DeleteFunc(s.pool.sessions, func(o *session) bool { return o == s })
+	delete(c.sessions, s.endpoint)
+}
+
+// attach binds a link to a session and answers the hello.
+func (c *Core) attach(s *session, link LinkID, hello *structs.Hello) {
+	c.detach(s)
+	s.link = link
+	s.slots = hello.Slots
+	c.links[link] = s
+	s.credits = creditCount{}
+	c.fireSession(s, sessionEvents.Hello, hello)
+	m := s.message()
+	m.Welcome = &structs.Welcome{Entry: c.self, Revision: c.revision()}
+	m.Config = c.doc
+	m.Peers = c.peers
+	m.Leaving = c.leaving()
+	if hello.Leaving {
+		c.fireSession(s, sessionEvents.Left, nil)
+	}
+	c.happened(event.AgentConnected, s.endpoint, "")
+}
+
+// detach ends the session's present link, if any.
+func (c *Core) detach(s *session) {
+	if s.link == 0 {
+		return
+	}
+	delete(c.links, s.link)
+	c.closeLink(s.link)
+	s.link = 0
+	s.out = nil
+	s.demanded = structs.Demand{}
+}
+
+func (c *Core) linkClosed(m *LinkClosed) {
+	delete(c.closing, m.Link)
+	s := c.links[m.Link]
+	if s == nil {
+		return
+	}
+	c.detach(s)
+	delete(c.closing, m.Link)
+	if s.state == sessionStates.Leaving && len(s.granted) == 0 {
+		c.removeSession(s)
+		return
+	}
+	c.fireSession(s, sessionEvents.LinkLost, nil)
+	c.happened(event.AgentLost, s.endpoint, "")
+}
+
+func (c *Core) fireSession(s *session, e chart.Event, hello *structs.Hello) {
+	sessionChart.Fire(&s.state, e, sessionStep{core: c, session: s, hello: hello})
+}
+
+// grantedTasks returns the tasks that the agent holds in the order of their
+// ids, so that a run is repeatable.
+func (s *session) grantedTasks() []*task {
+	tasks := make([]*task, 0, len(s.granted))
+	for _, t := range s.granted {
+		tasks = append(tasks, t)
+	}
+	slices.SortFunc(tasks, func(a, b *task) int {
+		if a.job.id.Seq != b.job.id.Seq {
+			return int(int64(a.job.id.Seq) - int64(b.job.id.Seq))
+		}
+		return int(a.index) - int(b.index)
+	})
+	return tasks
+}
+
+func (c *Core) suspendGrants(s *session) {
+	for _, t := range s.grantedTasks() {
+		c.fireTask(t, taskEvents.LinkLost, nil, nil)
+	}
+}
+
+// reconcile applies the agent's list of the grants that it has started. The
+// agent says that it has not started the others and never will.
+func (c *Core) reconcile(s *session, held []structs.GrantID) {
+	for _, t := range s.grantedTasks() {
+		if slices.Contains(held, t.grantID()) {
+			c.fireTask(t, taskEvents.Listed, nil, nil)
+		} else {
+			c.fireTask(t, taskEvents.Unlisted, nil, nil)
+		}
+	}
+}
+
+func (c *Core) loseGrants(s *session) {
+	for _, t := range s.grantedTasks() {
+		c.fireTask(t, taskEvents.AgentGone, nil, nil)
+	}
+}
+
+func (c *Core) takeResults(s *session, results []structs.Result) {
+	for i := range results {
+		r := &results[i]
+		c.stats.Messages.Results++
+		c.acknowledge(s, r.Grant)
+		t := s.granted[r.Grant]
+		if t == nil {
+			continue
+		}
+		c.learn(s, t, r)
+		if r.Outcome == structs.Succeeded {
+			c.fireTask(t, taskEvents.Succeeded, nil, r)
+		} else {
+			c.fireTask(t, taskEvents.Errored, nil, r)
+		}
+	}
+}
+
+func (c *Core) acknowledge(s *session, id structs.GrantID) {
+	m := s.message()
+	if len(m.Acks) == 0 {
+		s.ackSince = c.now
+	}
+	m.Acks = append(m.Acks, id)
+}
+
+// learn corrects the team's account and what is known of kind and worker.
+func (c *Core) learn(s *session, t *task, r *structs.Result) {
+	c.forgetStartedPayload(t)
+	t.lane.adjust(r.RunTime - t.cost)
+	switch r.Outcome {
+	case structs.Succeeded:
+		s.learnSlowness(t.kind, r.RunTime)
+		t.kind.observe(r.RunTime)
+		c.fireHealth(s, healthEvents.Succeeded)
+	case structs.Errored, structs.Lost:
+		c.fireHealth(s, healthEvents.Failed)
+	default:
+		c.fireHealth(s, healthEvents.Returned)
+	}
+}
+
+// forgetStartedPayload frees the payload of a task that won't be granted again.
+func (c *Core) forgetStartedPayload(t *task) { t.payload = nil }
+
+func (c *Core) takeRefusals(s *session, refusals []structs.Refusal) {
+	for _, r := range refusals {
+		c.stats.Messages.Refusals++
+		t := s.granted[r.Grant]
+		if t == nil {
+			continue
+		}
+		// The agent counted no credit for a grant that it refused.
+		s.credits.add(t.reserved, 1)
+		c.fireHealth(s, healthEvents.Returned)
+		c.fireTask(t, taskEvents.Refused, nil, nil)
+	}
+}
+
+func (c *Core) takeCredits(s *session, m *structs.FromAgent) {
+	s.idle = m.Idle
+	if s.state != sessionStates.Up {
+		return
+	}
+	s.credits.any += int(m.Offered.Any) - int(m.Revoked.Any)
+	s.credits.short += int(m.Offered.Short) - int(m.Revoked.Short)
+	s.demanded.Short -= min(s.demanded.Short, m.Offered.Total())
+}
+
+func (n *creditCount) add(reserved bool, count int) {
+	if reserved {
+		n.short += count
+	} else {
+		n.any += count
+	}
+}
+
+// scanSession ends grace and cooling periods and corrects the estimates of
+// kinds whose tasks run longer than foretold.
+func (c *Core) scanSession(s *session) {
+	if s.state == sessionStates.Lost && !c.now.Before(s.graceEnd) {
+		c.fireSession(s, sessionEvents.GraceOver, nil)
+		c.happened(event.AgentGone, s.endpoint, "")
+		c.removeSession(s)
+		return
+	}
+	if s.health == healthStates.Probation && !c.now.Before(s.coolingEnd) {
+		c.fireHealth(s, healthEvents.Cooled)
+	}
+	for _, t := range s.granted {
+		if elapsed := c.now.Sub(t.grantedAt); elapsed > c.estimate(t.kind, t.declared) {
+			t.kind.overran(elapsed)
+		}
+	}
+}
+
+// flushSession emits the collected message. A message of acknowledgements
+// alone waits for others to travel with.
+func (c *Core) flushSession(s *session) {
+	if s.out == nil || s.link == 0 {
+		return
+	}
+	if onlyAcks(s.out) && c.now.Sub(s.ackSince) < c.tuning.AckDelay && len(s.out.Acks) < maxAcks {
+		return
+	}
+	c.countSent(s.out)
+	c.emit(&Send{Link: s.link, Message: s.out})
+	s.out = nil
+}
+
+// maxAcks bounds the acknowledgements that wait for company.
+const maxAcks = 64
+
+func onlyAcks(m *structs.FromEntry) bool {
+	return m.Welcome == nil && m.Config == nil && m.Peers == nil && m.Demand == nil &&
+		len(m.Grants) == 0 && len(m.Cancels) == 0 && !m.Leaving && !m.Heartbeat
+}
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "cactuspost.example/internal/structs"
+
 // Stats counts what an entry has done since its start.
 type Stats struct {
 	// Messages counts the messages by cause.
@@ -33,3 +35,30 @@
 	Cancels    uint64 `json:"cancels"`
 	Heartbeats uint64 `json:"heartbeats"`
 }
+
+// countFrame counts a frame from an agent under the cause that it serves.
+func (c *Core) countFrame(m *structs.FromAgent) {
+	n := &c.stats.Messages
+	switch {
+	case len(m.Results) > 0 || len(m.Refusals) > 0 || m.Hello != nil:
+	case m.Offered.Total() > 0:
+		n.Offers++
+	case m.Revoked.Total() > 0:
+		n.Revokes++
+	case m.Heartbeat:
+		n.Heartbeats++
+	}
+}
+
+// countSent counts a frame to an agent in the same way.
+func (c *Core) countSent(m *structs.FromEntry) {
+	n := &c.stats.Messages
+	n.Frames++
+	switch {
+	case len(m.Grants) > 0 || len(m.Cancels) > 0 || m.Welcome != nil:
+	case m.Demand != nil:
+		n.Demands++
+	case len(m.Acks) > 0:
+		n.Acks++
+	}
+}
--- /dev/null
+++ b/internal/dispatch/task.go
@@ -0,0 +1,159 @@
+package dispatch
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cactuspost.example/internal/chart"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/structs"
+)
+
+// task is one task of an accepted job.
+type task struct {
+	job   *job
+	index uint32
+	// attempt counts the grants; it is part of the grant's id.
+	attempt uint32
+	state   chart.State
+	// reserved says that the present grant uses a Short credit, queued that the
+	// task stands in its lane.
+	reserved bool
+	queued   bool
+	kind     *kind
+	lane     *lane
+	holder   *session
+	payload  []byte
+	result   []byte
+	declared time.Duration
+	// cost is the slot time charged to the team, queuedAt the time of
+	// acceptance, grantedAt that of the present grant.
+	cost      time.Duration
+	queuedAt  time.Time
+	grantedAt time.Time
+}
+
+func (c *Core) initTask(p *pool, j *job, index uint32, s *structs.Submission) {
+	spec := &s.Tasks[index]
+	t := &j.tasks[index]
+	t.job = j
+	t.index = index
+	t.state = taskChart.Initial()
+	t.kind = c.kind(j.service, spec.Kind)
+	t.payload = spec.Payload
+	t.declared = spec.Declared
+	t.queuedAt = c.now
+	t.cost = c.estimate(t.kind, spec.Declared)
+	t.lane = p.lane(laneKey{team: j.team, service: j.service, needs: s.Needs, long: c.isLong(t.kind, spec.Declared)})
+	t.lane.weight = c.weight(j.team, j.service)
+	t.lane.pushBack(t)
+	c.waitingBytes += len(t.payload)
+}
+
+func (t *task) grantID() structs.GrantID {
+	return structs.GrantID{Owner: t.job.id.Owner, Job: t.job.id.Seq, Task: t.index, Attempt: t.attempt}
+}
+
+// fireTask applies an event to a task, and then to its job if the task ended.
+func (c *Core) fireTask(t *task, e chart.Event, holder *session, r *structs.Result) {
+	before := t.state
+	taskChart.Fire(&t.state, e, taskStep{core: c, task: t, holder: holder, result: r})
+	if t.state == before {
+		return
+	}
+	if before == taskStates.Waiting && t.state == taskStates.Dropped {
+		c.forgetPayload(t)
+	}
+	switch t.state {
+	case taskStates.Done:
+		c.stats.TasksDone++
+		t.job.done++
+		c.fireJob(t.job, jobEvents.TaskDone, nil)
+	case taskStates.Failed:
+		c.stats.TasksFailed++
+		c.fireJob(t.job, jobEvents.TaskFailed, nil)
+	}
+}
+
+func (c *Core) bindGrant(t *task, holder *session) {
+	t.attempt++
+	t.holder = holder
+	t.grantedAt = c.now
+	holder.granted[t.grantID()] = t
+	holder.pool.running++
+	t.lane.charge(t.cost)
+	c.stats.TasksGranted++
+	c.stats.Messages.Grants++
+}
+
+// releaseGrant ends a grant. The payload is kept only if the task may be
+// granted again.
+func (c *Core) releaseGrant(t *task) {
+	delete(t.holder.granted, t.grantID())
+	t.holder.pool.running--
+	t.holder = nil
+}
+
+func (c *Core) requeue(t *task) {
+	t.lane.adjust(-t.cost)
+	t.lane.pushFront(t)
+	c.waitingBytes += len(t.payload)
+}
+
+func (c *Core) forgetPayload(t *task) {
+	c.waitingBytes -= len(t.payload)
+	t.payload = nil
+}
+
+func (c *Core) sendCancel(t *task) {
+	c.stats.Messages.Cancels++
+	m := t.holder.message()
+	m.Cancels = append(m.Cancels, t.grantID())
+}
+
+// failureOf translates the end of a started task.
+func failureOf(t *task, r *structs.Result) *failure.Failure {
+	switch r.Outcome {
+	case structs.LimitExceeded:
+		return failure.Newf(failure.TimeLimit, failure.Ran, "task %d ran for %s", t.index, r.RunTime)
+	case structs.Lost:
+		return failure.Newf(failure.EndpointLost, failure.Unknown, "task %d: the connection to the endpoint broke", t.index)
+	default:
+		return failure.Newf(failure.TaskFailed, failure.Ran, "task %d: %s", t.index, r.Payload)
+	}
+}
+
+func lossOf(t *task) *failure.Failure {
+	return failure.Newf(failure.EndpointLost, failure.Unknown, "task %d: its agent is gone", t.index)
+}
+
+func cancelFailure(j *job) *failure.Failure {
+	return failure.New(failure.Cancelled, j.run(), "the caller withdrew the job")
+}
+
+func expiryFailure(j *job) *failure.Failure {
+	return failure.New(failure.Expired, j.run(), "the job's lifetime is over")
+}
+
+func shedFailure(j *job) *failure.Failure {
+	return failure.New(failure.Overloaded, failure.NotRun, "the job would have started after its objective").WithRetry(shedRetry)
+}
+
+// digestOf identifies a submission's content. It is never zero.
+func digestOf(s *structs.Submission) uint64 {
+	d := xxhash.New()
+	var size [8]byte
+	write := func(b []byte) {
+		binary.LittleEndian.PutUint64(size[:], uint64(len(b)))
+		_, _ = d.Write(size[:])
+		_, _ = d.Write(b)
+	}
+	write([]byte(s.Service))
+	for i := range s.Tasks {
+		write([]byte(s.Tasks[i].Kind))
+		write(s.Tasks[i].Payload)
+	}
+	return d.Sum64() | 1
+}
--- /dev/null
+++ b/internal/dispatch/tuning.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import "time"
+
+// Tuning holds the constants of the policy. Tests and measurements that scale
+// task times scale these with them.
+type Tuning struct {
+	// LongTask is the typical run time from which a kind counts as long.
+	LongTask time.Duration
+	// FirstEstimate is the run time assumed for a kind that was never seen.
+	FirstEstimate time.Duration
+	// DemandDelay is how long the first waiting task waits before every agent of
+	// the pool is told; it also separates repetitions.
+	DemandDelay time.Duration
+	// AgentGrace is how long a lost agent may take to come back.
+	AgentGrace time.Duration
+	// Cooling is how long a worker on probation gets no work, the first time.
+	Cooling time.Duration
+	// ScanPeriod separates the scans of sessions and running tasks.
+	ScanPeriod time.Duration
+	// AckDelay is how long an acknowledgement waits for a grant to travel with.
+	AckDelay time.Duration
+	// MaxWaitingBytes bounds the payloads that wait at this entry.
+	MaxWaitingBytes int
+	// MaxJobs bounds the job ids that are remembered.
+	MaxJobs int
+	// Estimates chooses where run times come from.
+	Estimates EstimateSource
+}
+
+// EstimateSource is a way to foretell a task's run time.
+type EstimateSource uint8
+
+const (
+	// Observed learns a robust mean per kind and corrects a kind's first
+	// estimate as soon as a running task exceeds it.
+	Observed EstimateSource = iota
+	// Declared trusts the caller's figure.
+	Declared
+	// Averaged learns the arithmetic mean per kind, without correction.
+	Averaged
+	// Corrected starts each kind with a small estimate and only ever extends it
+	// when a task overruns, after Rubio et al., "Correcting Job Walltime in a
+	// Resource-Constrained Environment".
+	Corrected
+)
+
+func (t Tuning) withDefaults() Tuning {
+	setDuration(&t.LongTask, 1500*time.Millisecond)
+	setDuration(&t.FirstEstimate, 200*time.Millisecond)
+	setDuration(&t.DemandDelay, 20*time.Millisecond)
+	setDuration(&t.AgentGrace, 10*time.Second)
+	setDuration(&t.Cooling, 2*time.Second)
+	setDuration(&t.ScanPeriod, 100*time.Millisecond)
+	setDuration(&t.AckDelay, 50*time.Millisecond)
+	if t.MaxWaitingBytes == 0 {
+		t.MaxWaitingBytes = 64 << 20
+	}
+	if t.MaxJobs == 0 {
+		t.MaxJobs = 200_000
+	}
+	return t
+}
+
+func setDuration(d *time.Duration, fallback time.Duration) {
+	if *d == 0 {
+		*d = fallback
+	}
+}
