--- /dev/null
+++ b/internal/agentd/connection.go
@@ -0,0 +1,194 @@
+package agentd
+
+import (
+	"context"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"go.uber.org/zap"
+
+	"cactuspost.example/charts"
+	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/chart"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/structs"
+	"cactuspost.example/internal/wire"
+)
+
+// outboundLimit bounds the bytes that wait on one link. An entry that reads
+// slower is cut off: results are kept until they are acknowledged.
+const outboundLimit = 2 * wire.MaxFrameBytes
+
+// connection is one TCP connection to an entry. Package chart runs it by the
+// chart of the same name.
+type connection struct {
+	state   chart.State
+	link    agent.LinkID
+	address string
+	owner   *links
+	conn    gnet.Conn
+	// cancelDial ends the dial, if it is still under way.
+	cancelDial context.CancelFunc
+	lastHeard  time.Time
+	lastSent   time.Time
+	// frame is the encoded message that the event send is about.
+	frame []byte
+	// queued are the bytes after those under way.
+	queued []byte
+	// writes counts the writes; reports on earlier ones are out of date.
+	writes uint64
+	// underWay counts the bytes of the last write that are not written.
+	underWay int
+}
+
+type connectionEvent = chart.Event
+
+var connectionChart = chart.MustCompile(charts.Files, "connection", chart.Bindings[*connection]{
+	Guards: map[string]func(*connection) bool{
+		"has_room":    (*connection).hasRoom,
+		"all_written": (*connection).allWritten,
+	},
+	Actions: map[string]func(*connection){
+		"adopt":           (*connection).adopt,
+		"cancel_dial":     func(c *connection) { c.cancelDial() },
+		"queue":           (*connection).queue,
+		"write":           (*connection).write,
+		"cut":             (*connection).cut,
+		"forget":          (*connection).forget,
+		"report_overflow": (*connection).reportOverflow,
+		"report_silence":  (*connection).reportSilence,
+	},
+})
+
+var connectionEvents struct {
+	Opened  chart.Event `chart:"opened"`
+	Ended   chart.Event `chart:"ended"`
+	Send    chart.Event `chart:"send"`
+	Written chart.Event `chart:"written"`
+	Silent  chart.Event `chart:"silent"`
+	Close   chart.Event `chart:"close"`
+	Finish  chart.Event `chart:"finish"`
+}
+
+var connectionStates struct {
+	Dialing   chart.State `chart:"dialing"`
+	Abandoned chart.State `chart:"abandoned"`
+	Open      chart.State `chart:"open"`
+	Finishing chart.State `chart:"finishing"`
+	Closing   chart.State `chart:"closing"`
+	Closed    chart.State `chart:"closed"`
+}
+
+func init() {
+	connectionChart.MustNames(&connectionEvents)
+	connectionChart.MustNames(&connectionStates)
+}
+
+func newConnection(link agent.LinkID, address string, owner *links, cancelDial context.CancelFunc, now time.Time) *connection {
+	return &connection{
+		state: connectionChart.Initial(), link: link, address: address, owner: owner,
+		cancelDial: cancelDial, lastHeard: now, lastSent: now,
+	}
+}
+
+func (c *connection) fire(e connectionEvent) { connectionChart.Fire(&c.state, e, c) }
+
+// send encodes and writes one message. A message that can't be encoded would
+// be missing on the link, so the link is closed.
+func (c *connection) send(now time.Time, m *structs.FromAgent) {
+	frame, err := wire.AppendFromAgent(nil, m)
+	if err != nil {
+		c.owner.log.happened(event.MessageNotEncoded, zap.String("entry", c.address), zap.Error(err))
+		c.fire(connectionEvents.Close)
+		return
+	}
+	c.frame = frame
+	c.lastSent = now
+	c.fire(connectionEvents.Send)
+	c.frame = nil
+}
+
+// written takes the report on the write that is under way.
+func (c *connection) written(m *linkWritten) {
+	if m.write != c.writes {
+		return
+	}
+	c.underWay = m.remaining
+	if c.underWay == 0 {
+		c.fire(connectionEvents.Written)
+	}
+}
+
+func (c *connection) tick(now time.Time) {
+	if c.state != connectionStates.Open && c.state != connectionStates.Finishing {
+		return
+	}
+	if now.Sub(c.lastHeard) > silenceLimit {
+		c.fire(connectionEvents.Silent)
+		return
+	}
+	if now.Sub(c.lastSent) > heartbeatInterval {
+		c.send(now, &structs.FromAgent{Heartbeat: true})
+	}
+	c.askProgress()
+}
+
+// askProgress asks the event loop how much of the write is left: it doesn't
+// report when the operating system has taken the rest.
+func (c *connection) askProgress() {
+	if c.underWay > 0 {
+		c.handOver(nil)
+	}
+}
+
+func (c *connection) hasRoom() bool {
+	return c.underWay+len(c.queued)+len(c.frame) <= outboundLimit
+}
+
+func (c *connection) allWritten() bool { return c.underWay == 0 && len(c.queued) == 0 }
+
+func (c *connection) adopt() { c.owner.counters.linksOpened.Inc() }
+
+func (c *connection) queue() { c.queued = append(c.queued, c.frame...) }
+
+// write starts the next write, unless one is under way.
+func (c *connection) write() {
+	if c.underWay > 0 || len(c.queued) == 0 {
+		return
+	}
+	c.writes++
+	c.underWay = len(c.queued)
+	c.owner.counters.bytesSent.Add(len(c.queued))
+	c.handOver(c.queued)
+	c.queued = nil
+}
+
+// handOver passes bytes to the event loop, which owns them from here on.
+func (c *connection) handOver(bytes []byte) {
+	report := &linkWritten{link: c.link, write: c.writes}
+	inbox := c.owner.inbox
+	err := c.conn.AsyncWrite(bytes, func(conn gnet.Conn, err error) error {
+		// After an error the event loop closes the connection and reports that.
+		if err == nil {
+			report.remaining = conn.OutboundBuffered()
+			inbox.Send(report)
+		}
+		return nil
+	})
+	if err != nil {
+		c.cut()
+	}
+}
+
+// cut asks the event loop to close the connection; the end is reported by it.
+func (c *connection) cut() { _ = c.conn.Close() }
+
+func (c *connection) forget() { delete(c.owner.connections, c.link) }
+
+func (c *connection) reportOverflow() {
+	c.owner.log.happened(event.LinkOverflow, zap.String("entry", c.address))
+}
+
+func (c *connection) reportSilence() {
+	c.owner.log.happened(event.LinkSilent, zap.String("entry", c.address))
+}
--- /dev/null
+++ b/internal/agentd/counters.go
@@ -0,0 +1,79 @@
+package agentd
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/structs"
+)
+
+// outcomeNames are the values of the label outcome, by structs.Outcome.
+var outcomeNames = [...]string{
+	structs.Succeeded:     "succeeded",
+	structs.Errored:       "errored",
+	structs.LimitExceeded: "limit_exceeded",
+	structs.Stopped:       "stopped",
+	structs.Lost:          "lost",
+}
+
+// counters are the metrics of one daemon. They may be used by all its parts.
+type counters struct {
+	set            *metrics.Set
+	linksOpened    *metrics.Counter
+	badFrames      *metrics.Counter
+	framesReceived *metrics.Counter
+	bytesSent      *metrics.Counter
+	runTime        *metrics.Histogram
+	tasks          [len(outcomeNames)]*metrics.Counter
+}
+
+func newCounters() *counters {
+	set := metrics.NewSet()
+	c := &counters{
+		set:            set,
+		linksOpened:    set.NewCounter("cactuspost_agent_links_opened_total"),
+		badFrames:      set.NewCounter("cactuspost_agent_bad_frames_total"),
+		framesReceived: set.NewCounter("cactuspost_agent_frames_received_total"),
+		bytesSent:      set.NewCounter("cactuspost_agent_link_bytes_sent_total"),
+		runTime:        set.NewHistogram("cactuspost_agent_task_run_seconds"),
+	}
+	for i, name := range outcomeNames {
+		c.tasks[i] = set.NewCounter(fmt.Sprintf("cactuspost_agent_tasks_ended_total{outcome=%q}", name))
+	}
+	return c
+}
+
+// ended counts the end of a task.
+func (c *counters) ended(m *agent.TaskExited) {
+	c.tasks[m.Outcome].Inc()
+	c.runTime.Update(m.RunTime.Seconds())
+}
+
+// write appends the metrics of the daemon and of its process in the text form
+// of Prometheus.
+func (c *counters) write(w io.Writer, s Status) {
+	c.set.WritePrometheus(w)
+	writeGauge(w, "cactuspost_agent_slots", s.Slots)
+	writeGauge(w, "cactuspost_agent_slots_free", s.Free)
+	writeGauge(w, "cactuspost_agent_slots_offered", s.Offered)
+	writeGauge(w, "cactuspost_agent_slots_busy", s.Busy)
+	writeGauge(w, "cactuspost_agent_results_unacked", s.Unacked)
+	writeGauge(w, "cactuspost_agent_endpoint_up", flag(s.EndpointUp))
+	writeGauge(w, "cactuspost_agent_leaving", flag(s.Leaving))
+	writeGauge(w, "cactuspost_agent_revision", int(s.Revision))
+	metrics.WriteProcessMetrics(w)
+}
+
+func writeGauge(w io.Writer, name string, value int) {
+	metrics.WriteGaugeUint64(w, name, uint64(value))
+}
+
+func flag(set bool) int {
+	if set {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/agentd/daemon.go
@@ -0,0 +1,169 @@
+// Package agentd is the process beside one endpoint, as a library. It connects
+// the pure decisions of package agent to the world:
+//
+//   - core owns the decisions and carries out their effects;
+//   - links owns the connections to the entries;
+//   - runner and its exchanges own the connections to the endpoint;
+//   - probe checks whether the endpoint accepts connections;
+//   - the operators' interface answers over HTTP.
+//
+// Each part is a goroutine with one bounded inbox. The core never waits for
+// another part; every other part may wait for the core.
+package agentd
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"cactuspost.example/internal/actor"
+	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/structs"
+)
+
+// Config is what an agent learns from its settings.
+type Config struct {
+	// Endpoint is the name of the endpoint, unique in its pool.
+	Endpoint   string
+	Pool       string
+	DataCentre string
+	// EndpointAddress is where the endpoint speaks HTTP, as host:port.
+	EndpointAddress string
+	// HTTPAddress is where operators reach the agent, as host:port.
+	HTTPAddress string
+	// Entries are the link addresses of some entries; the others are learnt.
+	Entries []string
+	// Slots is how many tasks run at the same time.
+	Slots int
+	// Connections bounds the connections to the endpoint. One is for health
+	// checks, so it is greater than Slots.
+	Connections int
+	Capacity    structs.Needs
+	// UnackedLimit bounds the results that wait for acknowledgement.
+	UnackedLimit int
+	// Log may be nil.
+	Log *zap.Logger
+}
+
+func (c Config) check() error {
+	switch {
+	case c.Endpoint == "" || c.Pool == "":
+		return failure.New(failure.Invalid, failure.NotRun, "endpoint and pool need names")
+	case c.EndpointAddress == "" || c.HTTPAddress == "" || len(c.Entries) == 0:
+		return failure.New(failure.Invalid, failure.NotRun, "endpoint address, HTTP address and entries are needed")
+	case c.Slots < 1:
+		return failure.New(failure.Invalid, failure.NotRun, "at least one slot is needed")
+	case c.Connections < c.Slots+probeConnections:
+		return failure.Newf(failure.Invalid, failure.NotRun, "%d slots need at least %d connections", c.Slots, c.Slots+probeConnections)
+	}
+	return nil
+}
+
+// Daemon is a running agent.
+type Daemon struct {
+	core        *actor.Inbox[coreInput]
+	links       *actor.Inbox[linksInput]
+	http        *httpServer
+	log         eventLog
+	incarnation structs.Incarnation
+	// cancel ends everything at once.
+	cancel context.CancelFunc
+	// parts counts the goroutines of runner, probe and links.
+	parts   sync.WaitGroup
+	ended   chan struct{}
+	drained bool
+}
+
+func start(ctx context.Context, c Config, incarnation structs.Incarnation, d decisions) (*Daemon, error) {
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	log := newEventLog(c.Log)
+	counters := newCounters()
+	coreInbox := actor.NewInbox[coreInput](coreInboxSize)
+	linksInbox := newLinksInbox()
+	runnerInbox := newRunnerInbox(c.Slots)
+	probeInbox := actor.NewInbox[probeInput](probeInboxSize)
+	server, err := newHTTPServer(c.HTTPAddress, coreInbox, counters)
+	if err != nil {
+		return nil, err
+	}
+	links, err := newLinks(linksInbox, coreInbox, log, counters)
+	if err != nil {
+		server.stop()
+		return nil, err
+	}
+	core := newCore(coreInbox, d, linksInbox, runnerInbox, log)
+	runner := newRunner(runnerInbox, coreInbox, probeInbox, c, counters)
+	probe := newProbe(probeInbox, coreInbox, c.EndpointAddress, log)
+
+	ctx, cancel := context.WithCancel(ctx)
+	daemon := &Daemon{
+		core: coreInbox, links: linksInbox, http: server, log: log,
+		incarnation: incarnation, cancel: cancel, ended: make(chan struct{}),
+	}
+	daemon.parts.Go(func() { runner.run(ctx) })
+	daemon.parts.Go(func() { probe.run(ctx) })
+	daemon.parts.Go(func() { links.run(ctx) })
+	go daemon.supervise(ctx, core)
+	server.start()
+	log.happened(event.AgentStarted, zap.String("endpoint", c.Endpoint), zap.Stringer("incarnation", incarnation))
+	return daemon, nil
+}
+
+// Stop begins the planned stop and returns at once: no more grants are taken,
+// what runs is finished and delivered, and then the agent ends.
+func (d *Daemon) Stop() {
+	if d.core.Send(coreInput{message: &agent.Stop{}}) {
+		d.log.happened(event.AgentStopping)
+	}
+}
+
+// Wait returns when the agent has ended. After a planned stop it returns nil;
+// otherwise a failure of kind Internal.
+func (d *Daemon) Wait() error {
+	<-d.ended
+	if !d.drained {
+		return failure.New(failure.Internal, failure.Unknown, "the agent ended without a planned stop")
+	}
+	return nil
+}
+
+// HTTPAddress returns the address for operators, with the port in use.
+func (d *Daemon) HTTPAddress() string { return d.http.address() }
+
+// Incarnation returns the number of this life of the agent.
+func (d *Daemon) Incarnation() structs.Incarnation { return d.incarnation }
+
+// supervise ends the parts in the order in which they need each other.
+func (d *Daemon) supervise(ctx context.Context, core *core) {
+	defer close(d.ended)
+	core.run(ctx)
+	d.drained = core.drained
+	if d.drained {
+		d.links.Send(&finishLinks{})
+		<-d.links.Done()
+	}
+	d.cancel()
+	d.parts.Wait()
+	d.http.stop()
+	if d.drained {
+		d.log.happened(event.AgentStopped)
+	}
+}
+
+func newIncarnation() structs.Incarnation {
+	var raw [8]byte
+	for {
+		// Read never fails; it ends the program if the system has no randomness.
+		_, _ = rand.Read(raw[:])
+		if n := structs.Incarnation(binary.BigEndian.Uint64(raw[:])); n != 0 {
+			return n
+		}
+	}
+}
--- /dev/null
+++ b/internal/agentd/daemon_test.go
@@ -0,0 +1,93 @@
+package agentd
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"cactuspost.example/internal/standin"
+	"cactuspost.example/internal/structs"
+)
+
+// startDaemon starts a daemon with fake decisions and returns it with the
+// entry that it connected to.
+func startDaemon(t *testing.T, endpoint *standin.Endpoint) (*Daemon, *entry) {
+	t.Helper()
+	l := listen(t)
+	c := Config{
+		Endpoint: "w1", Pool: "p", EndpointAddress: endpoint.Address(), HTTPAddress: "127.0.0.1:0",
+		Entries: []string{l.Addr().String()}, Slots: 8, Connections: 64,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d, err := start(ctx, c, 1, &relay{entry: l.Addr().String()})
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { cancel(); _ = d.Wait() })
+	e := accept(t, l)
+	is.New(t).True(e.receive().Hello != nil)
+	return d, e
+}
+
+func TestGrantsRunAndResultsReturn(t *testing.T) {
+	is := is.New(t)
+	endpoint := startEndpoint(t)
+	_, e := startDaemon(t, endpoint)
+	const tasks = 8
+	for i := range uint32(tasks) {
+		e.send(&structs.FromEntry{Grants: []structs.Grant{grant(i, fmt.Sprintf(`{"echo":"t%d"}`, i))}})
+	}
+	for range tasks {
+		r := e.receive().Results[0]
+		is.Equal(r.Outcome, structs.Succeeded)
+		is.Equal(string(r.Payload), fmt.Sprintf("t%d", r.Grant.Task)) // each its own answer
+	}
+	is.Equal(endpoint.Totals().Started, uint64(tasks))
+}
+
+func TestPlannedStopDeliversBeforeItEnds(t *testing.T) {
+	is := is.New(t)
+	endpoint := startEndpoint(t)
+	d, e := startDaemon(t, endpoint)
+	e.send(&structs.FromEntry{Grants: []structs.Grant{grant(1, `{"sleep_us":50000,"echo":"kept"}`)}})
+	endpoint.AwaitStarts(1)
+	status, _, err := fasthttp.Post(nil, "http://"+d.HTTPAddress()+DrainPath, nil)
+	is.NoErr(err)
+	is.Equal(status, fasthttp.StatusAccepted)
+	is.Equal(string(e.receive().Results[0].Payload), "kept")
+	is.Equal(e.receive(), nil) // the link ends after the last message
+	is.NoErr(d.Wait())
+}
+
+func TestEndOfContextIsNotAPlannedStop(t *testing.T) {
+	is := is.New(t)
+	d, _ := startDaemon(t, startEndpoint(t))
+	d.cancel()
+	is.True(d.Wait() != nil)
+}
+
+func TestOperatorsInterface(t *testing.T) {
+	is := is.New(t)
+	d, _ := startDaemon(t, startEndpoint(t))
+	for path, want := range map[string]int{
+		HealthPath: fasthttp.StatusOK, MetricsPath: fasthttp.StatusOK, StatePath: fasthttp.StatusOK,
+		ReadyPath: fasthttp.StatusServiceUnavailable, // the fake has no link in state up
+		DrainPath: fasthttp.StatusMethodNotAllowed, "/": fasthttp.StatusNotFound,
+	} {
+		status, body, err := fasthttp.Get(nil, "http://"+d.HTTPAddress()+path)
+		is.NoErr(err)
+		is.Equal(status, want)
+		is.True(len(body) > 0)
+	}
+}
+
+func TestFaultyConfigurationIsRefused(t *testing.T) {
+	is := is.New(t)
+	good := Config{Endpoint: "w", Pool: "p", EndpointAddress: "a", HTTPAddress: "b", Entries: []string{"c"}, Slots: 8, Connections: 9}
+	is.NoErr(good.check())
+	tooFew := good
+	tooFew.Connections = 8
+	is.True(tooFew.check() != nil)
+	is.True(Config{}.check() != nil)
+}
--- /dev/null
+++ b/internal/agentd/exchange.go
@@ -0,0 +1,271 @@
+package agentd
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"cactuspost.example/charts"
+	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/chart"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/structs"
+)
+
+// The request that runs a task: POST to RunPath with the payload as its body.
+const (
+	// RunPath is the path on the endpoint.
+	RunPath = "/run"
+	// HealthPath answers status 200 while the endpoint works.
+	HealthPath = "/healthz"
+	// GrantHeader names the grant, unique to one start of one task.
+	GrantHeader = "Cactuspost-Grant"
+	// ServiceHeader names the service.
+	ServiceHeader = "Cactuspost-Service"
+	// KindHeader names the task's kind.
+	KindHeader = "Cactuspost-Kind"
+)
+
+const (
+	// maxAnswerBytes bounds a task's result.
+	maxAnswerBytes = 1 << 20
+	// endpointDialTimeout bounds the opening of a connection to the endpoint.
+	endpointDialTimeout = time.Second
+)
+
+// exchange is one started task: one request on one connection, and never a
+// second one. Its goroutine owns the connection. It follows the chart of the
+// same name.
+type exchange struct {
+	state      chart.State
+	grant      structs.Grant
+	endpoint   string
+	connection *endpointConnection
+	reusable   bool
+	request    fasthttp.Request
+	response   fasthttp.Response
+	begun      time.Time
+	outcome    structs.Outcome
+	payload    []byte
+	// err is the cause of the last event.
+	err error
+}
+
+var exchangeChart = chart.MustCompile(charts.Files, "exchange", chart.Bindings[*exchange]{
+	Guards: map[string]func(*exchange) bool{
+		"status_ok": func(e *exchange) bool { return e.response.StatusCode() == fasthttp.StatusOK },
+	},
+	Actions: map[string]func(*exchange){
+		"keep_connection":    (*exchange).keepConnection,
+		"drop_connection":    (*exchange).dropConnection,
+		"report_result":      (*exchange).reportResult,
+		"report_error":       (*exchange).reportError,
+		"report_lost":        (*exchange).reportLost,
+		"report_oversized":   (*exchange).reportOversized,
+		"report_stopped":     (*exchange).reportStopped,
+		"report_unframed":    (*exchange).reportUnframed,
+		"report_unreachable": (*exchange).reportUnreachable,
+	},
+})
+
+var exchangeEvents struct {
+	Connected   chart.Event `chart:"connected"`
+	Unreachable chart.Event `chart:"unreachable"`
+	Answered    chart.Event `chart:"answered"`
+	Oversized   chart.Event `chart:"oversized"`
+	Unframed    chart.Event `chart:"unframed"`
+	Broken      chart.Event `chart:"broken"`
+	Cut         chart.Event `chart:"cut"`
+}
+
+var exchangeStates struct {
+	Connecting chart.State `chart:"connecting"`
+	Awaiting   chart.State `chart:"awaiting"`
+	Ended      chart.State `chart:"ended"`
+}
+
+func init() {
+	exchangeChart.MustNames(&exchangeEvents)
+	exchangeChart.MustNames(&exchangeStates)
+}
+
+// newExchange prepares a task. The connection may be nil; then one is dialled.
+func newExchange(grant structs.Grant, endpoint string, connection *endpointConnection) *exchange {
+	return &exchange{state: exchangeChart.Initial(), grant: grant, endpoint: endpoint, connection: connection}
+}
+
+// run carries the exchange to its end. When ctx ends, the connection is cut.
+func (e *exchange) run(ctx context.Context) *exchangeEnded {
+	e.begun = time.Now()
+	exchangeChart.Fire(&e.state, e.connect(ctx), e)
+	if e.state == exchangeStates.Awaiting {
+		exchangeChart.Fire(&e.state, e.converse(ctx), e)
+	}
+	ended := &exchangeEnded{exited: &agent.TaskExited{
+		Grant: e.grant.ID, Outcome: e.outcome, Payload: e.payload, RunTime: time.Since(e.begun),
+	}}
+	if e.reusable {
+		ended.connection = e.connection
+	}
+	return ended
+}
+
+// connect checks the connection at hand or opens one. Nothing is sent, so a
+// stale connection is replaced without risk.
+func (e *exchange) connect(ctx context.Context) chart.Event {
+	if e.connection != nil && e.connection.clean() {
+		return exchangeEvents.Connected
+	}
+	e.dropConnection()
+	dialer := net.Dialer{Timeout: endpointDialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", e.endpoint)
+	if ctx.Err() != nil {
+		return exchangeEvents.Cut
+	}
+	if err != nil {
+		e.err = err
+		return exchangeEvents.Unreachable
+	}
+	e.connection = newEndpointConnection(conn)
+	return exchangeEvents.Connected
+}
+
+// converse sends the request and reads the answer.
+func (e *exchange) converse(ctx context.Context) chart.Event {
+	conn := e.connection.Conn
+	release := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	defer release()
+	err := e.send()
+	if err == nil {
+		err = readResponse(&e.response, e.connection.reader)
+	}
+	e.err = err
+	switch {
+	case err == nil:
+		return exchangeEvents.Answered
+	case ctx.Err() != nil:
+		return exchangeEvents.Cut
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return exchangeEvents.Oversized
+	case errors.Is(err, errUnframed):
+		return exchangeEvents.Unframed
+	default:
+		return exchangeEvents.Broken
+	}
+}
+
+func (e *exchange) send() error {
+	e.request.Header.SetMethod(fasthttp.MethodPost)
+	e.request.SetRequestURI(RunPath)
+	e.request.Header.SetHost(e.endpoint)
+	e.request.Header.Set(GrantHeader, grantText(e.grant.ID))
+	e.request.Header.Set(ServiceHeader, e.grant.Service)
+	e.request.Header.Set(KindHeader, e.grant.Kind)
+	e.request.Header.SetContentType("application/octet-stream")
+	e.request.SetBodyRaw(e.grant.Payload)
+	if err := e.request.Write(e.connection.writer); err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(e.connection.writer.Flush())
+}
+
+// errUnframed marks an answer without a stated length.
+var errUnframed = failure.New(failure.TaskFailed, failure.Ran, "the answer has neither a length nor chunks")
+
+// identityLength is the library's content length of an answer that ends with
+// its connection.
+const identityLength = -2
+
+// readResponse reads one answer of a bounded size. The library's own reading of
+// whole answers would take a broken connection for the end of a body without a
+// length.
+func readResponse(response *fasthttp.Response, r *bufio.Reader) error {
+	if err := readFinalHeader(response, r); err != nil {
+		return err
+	}
+	switch response.Header.ContentLength() {
+	case identityLength:
+		return errUnframed
+	case 0:
+		return nil
+	}
+	if err := response.ReadBody(r, maxAnswerBytes); err != nil {
+		return errors.WithStack(err)
+	}
+	if response.Header.ContentLength() < 0 {
+		return errors.WithStack(response.Header.ReadTrailer(r))
+	}
+	return nil
+}
+
+// maxInterimAnswers bounds the answers before the final one, such as status 100.
+const maxInterimAnswers = 8
+
+func readFinalHeader(response *fasthttp.Response, r *bufio.Reader) error {
+	for range maxInterimAnswers {
+		if err := response.Header.Read(r); err != nil {
+			return errors.WithStack(err)
+		}
+		if response.StatusCode() >= fasthttp.StatusOK {
+			return nil
+		}
+	}
+	return errors.WithStack(failure.New(failure.TaskFailed, failure.Ran, "too many interim answers"))
+}
+
+func (e *exchange) keepConnection() {
+	e.reusable = !e.response.ConnectionClose()
+	if !e.reusable {
+		e.dropConnection()
+	}
+}
+
+func (e *exchange) dropConnection() {
+	if e.connection != nil {
+		_ = e.connection.Close()
+	}
+	e.connection = nil
+}
+
+func (e *exchange) report(outcome structs.Outcome, payload []byte) {
+	e.outcome = outcome
+	e.payload = payload
+}
+
+func (e *exchange) reportFailure(outcome structs.Outcome, f *failure.Failure) {
+	e.report(outcome, []byte(f.Error()))
+}
+
+func (e *exchange) reportResult() { e.report(structs.Succeeded, e.response.Body()) }
+
+func (e *exchange) reportError() { e.report(structs.Errored, e.response.Body()) }
+
+func (e *exchange) reportStopped() { e.report(structs.Stopped, nil) }
+
+func (e *exchange) reportLost() {
+	e.reportFailure(structs.Lost, failure.Wrap(e.err, failure.EndpointLost, failure.Unknown, "the connection to the endpoint broke"))
+}
+
+func (e *exchange) reportUnreachable() {
+	e.reportFailure(structs.Lost, failure.Wrap(e.err, failure.EndpointLost, failure.NotRun, "no connection to the endpoint"))
+}
+
+func (e *exchange) reportOversized() {
+	e.reportFailure(structs.Errored, failure.Newf(failure.TooLarge, failure.Ran, "the answer is over %d bytes", maxAnswerBytes))
+}
+
+func (e *exchange) reportUnframed() { e.reportFailure(structs.Errored, errUnframed) }
+
+// notSent is the end of a task that never reached an exchange.
+func notSent(id structs.GrantID, f *failure.Failure) *agent.TaskExited {
+	return &agent.TaskExited{Grant: id, Outcome: structs.Lost, Payload: []byte(f.Error())}
+}
+
+func grantText(id structs.GrantID) string {
+	return fmt.Sprintf("%s-%x-%d-%d", id.Owner, id.Job, id.Task, id.Attempt)
+}
--- /dev/null
+++ b/internal/agentd/exchange_test.go
@@ -0,0 +1,182 @@
+package agentd
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/structs"
+)
+
+// answering accepts one connection after the other and lets serve handle each.
+func answering(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	l := listen(t)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			serve(conn)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func readRequest(conn net.Conn) {
+	r := bufio.NewReader(conn)
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil || line == "\r\n" {
+			return
+		}
+	}
+}
+
+func runOnce(endpoint string) *agent.TaskExited {
+	return newExchange(grant(1, ""), endpoint, nil).run(context.Background()).exited
+}
+
+func TestExchangeReportsWhatTheEndpointSays(t *testing.T) {
+	is := is.New(t)
+	endpoint := startEndpoint(t)
+	for payload, want := range map[string]structs.Outcome{
+		`{"echo":"a","sleep_us":1000}`: structs.Succeeded,
+		`{"echo":"b","fail":true}`:     structs.Errored,
+		`plain text`:                   structs.Succeeded,
+	} {
+		ended := newExchange(grant(1, payload), endpoint.Address(), nil).run(context.Background())
+		is.Equal(ended.exited.Outcome, want)
+		is.True(ended.connection != nil) // kept for the next task
+	}
+	is.Equal(endpoint.Starts()["a"], 1)
+	is.Equal(endpoint.Starts()["b"], 1)
+}
+
+func TestExchangeNeverTakesAPartOfAnAnswerForTheWhole(t *testing.T) {
+	is := is.New(t)
+	for answer, want := range map[string]structs.Outcome{
+		"":                           structs.Lost,
+		"HTTP/1.1 200 OK\r\n":        structs.Lost,
+		"no protocol at all\r\n\r\n": structs.Lost,
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf":                   structs.Lost,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n": structs.Lost,
+		"HTTP/1.1 200 OK\r\n\r\nends with the connection":                    structs.Errored,
+		"HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\n":                 structs.Errored,
+	} {
+		var connections int
+		endpoint := answering(t, func(conn net.Conn) {
+			connections++
+			readRequest(conn)
+			_, _ = io.WriteString(conn, answer)
+			_ = conn.Close()
+		})
+		ended := newExchange(grant(1, ""), endpoint, nil).run(context.Background())
+		is.Equal(ended.exited.Outcome, want)
+		is.True(ended.connection == nil)
+		is.Equal(connections, 1) // sent once
+	}
+}
+
+func TestExchangeWithoutEndpointIsLost(t *testing.T) {
+	is := is.New(t)
+	l := listen(t)
+	is.NoErr(l.Close())
+	exited := runOnce(l.Addr().String())
+	is.Equal(exited.Outcome, structs.Lost)
+	is.True(strings.Contains(string(exited.Payload), "not run"))
+}
+
+func TestOversizedChunkedAnswerIsAnError(t *testing.T) {
+	is := is.New(t)
+	endpoint := answering(t, func(conn net.Conn) {
+		readRequest(conn)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", maxAnswerBytes+1)
+		_, _ = io.Copy(conn, strings.NewReader(strings.Repeat("x", maxAnswerBytes+1)))
+		_, _ = io.WriteString(conn, "\r\n0\r\n\r\n")
+		_ = conn.Close()
+	})
+	exited := runOnce(endpoint)
+	is.Equal(exited.Outcome, structs.Errored)
+	is.True(strings.Contains(string(exited.Payload), "too_large"))
+}
+
+// dirty returns the two ends of a connection.
+func pair(t *testing.T) (near *endpointConnection, far net.Conn, address string) {
+	t.Helper()
+	is := is.New(t)
+	l := listen(t)
+	conn, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	far, err = l.Accept()
+	is.NoErr(err)
+	return newEndpointConnection(conn), far, l.Addr().String()
+}
+
+func TestStaleConnectionIsReplacedBeforeAnythingIsSent(t *testing.T) {
+	for name, spoil := range map[string]func(net.Conn){
+		"closed by the endpoint": func(far net.Conn) { _ = far.Close() },
+		"bytes nobody asked for": func(far net.Conn) { _, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\n") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			near, far, _ := pair(t)
+			is.True(near.clean())
+			spoil(far)
+			awaitReadable(t, near.Conn)
+			is.True(!near.clean())
+			endpoint := startEndpoint(t)
+			ended := newExchange(grant(1, `{"echo":"a"}`), endpoint.Address(), near).run(context.Background())
+			is.Equal(ended.exited.Outcome, structs.Succeeded)
+			is.Equal(endpoint.Totals().Started, uint64(1))
+		})
+	}
+}
+
+// awaitReadable waits until the other side's bytes or end have arrived.
+func awaitReadable(t *testing.T, conn net.Conn) {
+	t.Helper()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	is.New(t).NoErr(err)
+	tries := 0
+	is.New(t).NoErr(raw.Read(func(uintptr) bool { tries++; return tries > 1 }))
+}
+
+func TestConnectionThatBreaksAfterTheRequestIsLostAndNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	near, far, address := pair(t)
+	requests := make(chan struct{}, 8)
+	go func() {
+		readRequest(far)
+		requests <- struct{}{}
+		_ = far.Close()
+	}()
+	ended := newExchange(grant(1, "x"), address, near).run(context.Background())
+	is.Equal(ended.exited.Outcome, structs.Lost)
+	is.Equal(len(requests), 1)
+}
+
+func TestCutEndsAnExchangeThatWaits(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	closed := make(chan error, 1)
+	endpoint := answering(t, func(conn net.Conn) {
+		readRequest(conn)
+		cancel()
+		_, err := conn.Read(make([]byte, 1))
+		closed <- err
+	})
+	exited := newExchange(grant(1, ""), endpoint, nil).run(ctx).exited
+	is.Equal(exited.Outcome, structs.Stopped)
+	is.True(<-closed != nil) // the endpoint sees the connection end
+	is.True(exited.RunTime < time.Minute)
+}
--- /dev/null
+++ b/internal/agentd/fakes_test.go
@@ -0,0 +1,156 @@
+package agentd
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cactuspost.example/internal/actor"
+	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/standin"
+	"cactuspost.example/internal/structs"
+	"cactuspost.example/internal/wire"
+)
+
+// collector passes what arrives in an inbox on to a channel.
+type collector[M any] struct{ seen chan M }
+
+func (c *collector[M]) Handle(_ time.Time, m M) bool { c.seen <- m; return true }
+func (c *collector[M]) Tick(time.Time) bool          { return true }
+func (c *collector[M]) Flush(time.Time)              {}
+
+// collect returns an inbox and the channel with its messages.
+func collect[M any](t *testing.T) (*actor.Inbox[M], <-chan M) {
+	t.Helper()
+	in := actor.NewInbox[M](64)
+	c := &collector[M]{seen: make(chan M, 1024)}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go actor.Run(ctx, in, time.Hour, c)
+	return in, c.seen
+}
+
+// relay is a fake of the decisions: it starts every grant, sends every result
+// once, dials again at each tick, and is drained when nothing runs.
+type relay struct {
+	entry    string
+	link     agent.LinkID
+	up       bool
+	dialling bool
+	running  int
+	leaving  bool
+	effects  []agent.Effect
+}
+
+func (r *relay) Tick(time.Time)  {}
+func (r *relay) Flush(time.Time) {}
+
+func (r *relay) Effects() []agent.Effect {
+	if r.link == 0 || !r.up && !r.dialling {
+		r.link++
+		r.dialling = true
+		r.effects = append(r.effects, &agent.Dial{Link: r.link, Address: r.entry})
+	}
+	if r.leaving && r.running == 0 {
+		r.effects = append(r.effects, &agent.Drained{})
+	}
+	effects := r.effects
+	r.effects = nil
+	return effects
+}
+
+func (r *relay) Step(_ time.Time, m agent.Message) {
+	switch m := m.(type) {
+	case *agent.LinkOpened:
+		r.up, r.dialling = true, false
+		r.send(&structs.FromAgent{Hello: &structs.Hello{Endpoint: "w1"}})
+	case *agent.LinkClosed:
+		r.up, r.dialling = false, false
+	case *agent.EntryMessage:
+		for _, g := range m.Message.Grants {
+			r.running++
+			r.effects = append(r.effects, &agent.StartTask{Grant: g})
+		}
+		for _, id := range m.Message.Cancels {
+			r.effects = append(r.effects, &agent.StopTask{Grant: id})
+		}
+	case *agent.TaskExited:
+		r.running--
+		r.send(&structs.FromAgent{Results: []structs.Result{{Grant: m.Grant, Outcome: m.Outcome, Payload: m.Payload}}})
+	case *agent.Stop:
+		r.leaving = true
+	case *agent.Inspect:
+		r.effects = append(r.effects, &agent.Inspected{Reply: m.Reply, View: agent.View{Leaving: r.leaving}})
+	}
+}
+
+func (r *relay) send(m *structs.FromAgent) {
+	r.effects = append(r.effects, &agent.Send{Link: r.link, Message: m})
+}
+
+// entry is one connection that a fake entry has accepted.
+type entry struct {
+	is   *is.I
+	conn net.Conn
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+func accept(t *testing.T, l net.Listener) *entry {
+	t.Helper()
+	conn, err := l.Accept()
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return &entry{is: is.New(t), conn: conn}
+}
+
+func (e *entry) send(m *structs.FromEntry) {
+	e.is.Helper()
+	frame, err := wire.AppendFromEntry(nil, m)
+	e.is.NoErr(err)
+	_, err = e.conn.Write(frame)
+	e.is.NoErr(err)
+}
+
+// receive returns the next message that isn't a heartbeat, or nil at the end.
+func (e *entry) receive() *structs.FromAgent {
+	e.is.Helper()
+	for {
+		header := make([]byte, wire.HeaderBytes)
+		if _, err := io.ReadFull(e.conn, header); err != nil {
+			return nil
+		}
+		size, err := wire.FrameLength(header)
+		e.is.NoErr(err)
+		body := make([]byte, size)
+		_, err = io.ReadFull(e.conn, body)
+		e.is.NoErr(err)
+		m, err := wire.DecodeFromAgent(body)
+		e.is.NoErr(err)
+		if !m.Heartbeat {
+			return m
+		}
+	}
+}
+
+func startEndpoint(t *testing.T) *standin.Endpoint {
+	t.Helper()
+	e, err := standin.StartEndpoint(standin.EndpointOptions{Listen: "127.0.0.1:0"})
+	is.New(t).NoErr(err)
+	t.Cleanup(e.Kill)
+	return e
+}
+
+func grant(task uint32, payload string) structs.Grant {
+	return structs.Grant{ID: structs.GrantID{Owner: 1, Job: 1, Task: task, Attempt: 1}, Service: "s", Kind: "k", Payload: []byte(payload)}
+}
--- /dev/null
+++ b/internal/agentd/http.go
@@ -0,0 +1,166 @@
+package agentd
+
+import (
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cactuspost.example/internal/actor"
+	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/failure"
+)
+
+// The operators' interface.
+const (
+	// ReadyPath answers status 200 while grants can arrive, else 503.
+	ReadyPath = "/readyz"
+	// MetricsPath answers the metrics in the text form of Prometheus.
+	MetricsPath = "/metrics"
+	// StatePath answers Status as JSON.
+	StatePath = "/v1/state"
+	// DrainPath begins the planned stop on POST and answers at once.
+	DrainPath = "/v1/drain"
+)
+
+const (
+	// statusTimeout bounds the wait for the core's answer.
+	statusTimeout = time.Second
+	// httpIdleTimeout ends connections of operators that are not used.
+	httpIdleTimeout = 10 * time.Second
+	// maxRequestBytes bounds an operator's request.
+	maxRequestBytes = 16 << 10
+)
+
+// httpServer is the operators' interface of one daemon.
+type httpServer struct {
+	listener net.Listener
+	server   *fasthttp.Server
+	core     *actor.Inbox[coreInput]
+	counters *counters
+}
+
+// newHTTPServer opens the address. It returns a failure of kind Unavailable if
+// that can't be done.
+func newHTTPServer(address string, core *actor.Inbox[coreInput], counters *counters) (*httpServer, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Unavailable, failure.NotRun, "listen for operators")
+	}
+	s := &httpServer{listener: listener, core: core, counters: counters}
+	s.server = &fasthttp.Server{
+		Handler:            s.handle,
+		Name:               "cactuspost-agent",
+		IdleTimeout:        httpIdleTimeout,
+		ReadTimeout:        httpIdleTimeout,
+		MaxRequestBodySize: maxRequestBytes,
+		CloseOnShutdown:    true,
+	}
+	return s, nil
+}
+
+func (s *httpServer) address() string { return s.listener.Addr().String() }
+
+func (s *httpServer) start() { go func() { _ = s.server.Serve(s.listener) }() }
+
+// stop ends the interface after the requests in progress.
+func (s *httpServer) stop() {
+	_ = s.server.Shutdown()
+	_ = s.listener.Close()
+}
+
+func (s *httpServer) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case HealthPath:
+		ctx.SetBodyString("ok\n")
+	case ReadyPath:
+		s.ready(ctx)
+	case MetricsPath:
+		s.metrics(ctx)
+	case StatePath:
+		s.state(ctx)
+	case DrainPath:
+		s.drain(ctx)
+	default:
+		writeFailure(ctx, fasthttp.StatusNotFound, failure.New(failure.Invalid, failure.NotRun, "no such path"))
+	}
+}
+
+func (s *httpServer) ready(ctx *fasthttp.RequestCtx) {
+	status, f := s.ask()
+	if f == nil && !status.Ready() {
+		f = failure.New(failure.Unavailable, failure.NotRun, "no entry, no endpoint, or leaving")
+	}
+	if f != nil {
+		writeFailure(ctx, fasthttp.StatusServiceUnavailable, f)
+		return
+	}
+	ctx.SetBodyString("ok\n")
+}
+
+func (s *httpServer) metrics(ctx *fasthttp.RequestCtx) {
+	status, f := s.ask()
+	if f != nil {
+		writeFailure(ctx, fasthttp.StatusServiceUnavailable, f)
+		return
+	}
+	ctx.SetContentType("text/plain; version=0.0.4")
+	s.counters.write(ctx, status)
+}
+
+func (s *httpServer) state(ctx *fasthttp.RequestCtx) {
+	status, f := s.ask()
+	if f != nil {
+		writeFailure(ctx, fasthttp.StatusServiceUnavailable, f)
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, status)
+}
+
+func (s *httpServer) drain(ctx *fasthttp.RequestCtx) {
+	if !ctx.IsPost() {
+		writeFailure(ctx, fasthttp.StatusMethodNotAllowed, failure.New(failure.Invalid, failure.NotRun, "only POST is allowed"))
+		return
+	}
+	s.core.Send(coreInput{message: &agent.Stop{}})
+	ctx.SetStatusCode(fasthttp.StatusAccepted)
+}
+
+// ask gets the state from the core. It returns a failure of kind Unavailable
+// when the core doesn't answer in time.
+func (s *httpServer) ask() (Status, *failure.Failure) {
+	reply := make(chan Status, 1)
+	deadline := time.NewTimer(statusTimeout)
+	defer deadline.Stop()
+	if !s.core.TrySend(coreInput{status: reply}) {
+		return Status{}, failure.New(failure.Unavailable, failure.NotRun, "the agent is busy")
+	}
+	select {
+	case status := <-reply:
+		return status, nil
+	case <-s.core.Done():
+		return Status{}, failure.New(failure.Draining, failure.NotRun, "the agent has stopped")
+	case <-deadline.C:
+		return Status{}, failure.New(failure.Unavailable, failure.NotRun, "the agent did not answer in time")
+	}
+}
+
+// failureBody is a failure as operators see it.
+type failureBody struct {
+	Kind   failure.Kind `json:"kind"`
+	Run    failure.Run  `json:"run"`
+	Detail string       `json:"detail"`
+}
+
+func writeFailure(ctx *fasthttp.RequestCtx, status int, f *failure.Failure) {
+	writeJSON(ctx, status, failureBody{Kind: f.Kind, Run: f.Run, Detail: f.Detail})
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, body any) {
+	ctx.SetContentType("application/json")
+	ctx.SetStatusCode(status)
+	if err := json.NewEncoder(ctx).Encode(body); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+	}
+}
--- /dev/null
+++ b/internal/agentd/idle.go
@@ -0,0 +1,104 @@
+package agentd
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+	"time"
+)
+
+const (
+	// idleLimit is how long a connection to the endpoint is kept unused. It is
+	// shorter than the usual keep-alive times of servers, so that the agent and
+	// not the endpoint ends an unused connection.
+	idleLimit = 3 * time.Second
+	// endpointBufferBytes is the size of each buffer of a connection to the
+	// endpoint. It bounds the header of an answer.
+	endpointBufferBytes = 16 << 10
+)
+
+// endpointConnection is a connection to the endpoint with its buffers. It has
+// one owner at a time: the runner while it is idle, else one exchange.
+type endpointConnection struct {
+	net.Conn
+	reader    *bufio.Reader
+	writer    *bufio.Writer
+	idleSince time.Time
+}
+
+func newEndpointConnection(conn net.Conn) *endpointConnection {
+	return &endpointConnection{
+		Conn:   conn,
+		reader: bufio.NewReaderSize(conn, endpointBufferBytes),
+		writer: bufio.NewWriterSize(conn, endpointBufferBytes),
+	}
+}
+
+// clean reports whether the connection is open and nothing waits on it. Bytes
+// that nobody asked for would be taken for the answer to the next request.
+func (c *endpointConnection) clean() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := error(nil)
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, waiting = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	})
+	return err == nil && waiting == syscall.EAGAIN
+}
+
+// idleConnections is a bounded stack: the connection used last is used first,
+// so that the others can expire.
+type idleConnections struct {
+	limit int
+	stack []*endpointConnection
+}
+
+// take returns the connection that was idle for the shortest time, or nil.
+func (i *idleConnections) take(now time.Time) *endpointConnection {
+	i.expire(now)
+	last := len(i.stack) - 1
+	if last < 0 {
+		return nil
+	}
+	c := i.stack[last]
+	i.stack = i.stack[:last]
+	return c
+}
+
+// put keeps a connection, or closes it when idle and busy ones together would
+// be over the limit. A nil connection is none.
+func (i *idleConnections) put(now time.Time, c *endpointConnection, busy int) {
+	if c == nil {
+		return
+	}
+	if len(i.stack)+busy >= i.limit {
+		_ = c.Close()
+		return
+	}
+	c.idleSince = now
+	i.stack = append(i.stack, c)
+}
+
+// expire closes the connections that were idle for longer than idleLimit.
+func (i *idleConnections) expire(now time.Time) {
+	kept := 0
+	for kept < len(i.stack) && now.Sub(i.stack[kept].idleSince) > idleLimit {
+		_ = i.stack[kept].Close()
+		kept++
+	}
+	i.stack = append(i.stack[:0], i.stack[kept:]...)
+}
+
+func (i *idleConnections) closeAll() {
+	for _, c := range i.stack {
+		_ = c.Close()
+	}
+	i.stack = nil
+}
--- /dev/null
+++ b/internal/agentd/links.go
@@ -0,0 +1,244 @@
+package agentd
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"cactuspost.example/internal/actor"
+	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/structs"
+)
+
+const (
+	// linksInboxSize bounds the messages that wait for the owner of the
+	// connections. The core doesn't wait for room, see core.send; event loops and
+	// dials do.
+	linksInboxSize = 4096
+	// linksPeriod is the time between two checks of heartbeats and writes.
+	linksPeriod = 50 * time.Millisecond
+	// heartbeatInterval is how long a link may be without a message from here.
+	heartbeatInterval = time.Second
+	// silenceLimit is how long a link may be without a message from the entry.
+	silenceLimit = 5 * time.Second
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = 3 * time.Second
+	// pauseLimit is the longest time between two checks that doesn't count as a
+	// pause of this process; nobody is blamed for silence during a pause.
+	pauseLimit = time.Second
+)
+
+// linksInput is a message for the owner of the connections.
+type linksInput interface{ isLinksInput() }
+
+// From the core.
+type (
+	dialLink struct {
+		link    agent.LinkID
+		address string
+	}
+	sendMessage struct {
+		link    agent.LinkID
+		message *structs.FromAgent
+	}
+	closeLink struct{ link agent.LinkID }
+	// finishLinks closes every connection after its last queued byte, and then
+	// ends the actor.
+	finishLinks struct{}
+)
+
+// From event loops and dials.
+type (
+	linkOpened struct {
+		link agent.LinkID
+		conn gnet.Conn
+	}
+	linkEnded struct{ link agent.LinkID }
+	linkHeard struct {
+		link agent.LinkID
+		at   time.Time
+	}
+	// linkWritten reports how many bytes of a write the operating system has not
+	// taken yet.
+	linkWritten struct {
+		link      agent.LinkID
+		write     uint64
+		remaining int
+	}
+)
+
+func (*dialLink) isLinksInput()    {}
+func (*sendMessage) isLinksInput() {}
+func (*closeLink) isLinksInput()   {}
+func (*finishLinks) isLinksInput() {}
+func (*linkOpened) isLinksInput()  {}
+func (*linkEnded) isLinksInput()   {}
+func (*linkHeard) isLinksInput()   {}
+func (*linkWritten) isLinksInput() {}
+
+// links owns the connections to the entries: it dials, encodes and writes.
+// Received messages go from the event loop to the core directly.
+type links struct {
+	inbox       *actor.Inbox[linksInput]
+	core        *actor.Inbox[coreInput]
+	client      *gnet.Client
+	log         eventLog
+	counters    *counters
+	connections map[agent.LinkID]*connection
+	finishing   bool
+	lastTick    time.Time
+	// ctx ends dials when the daemon ends.
+	ctx context.Context
+}
+
+func newLinksInbox() *actor.Inbox[linksInput] {
+	return actor.NewInbox[linksInput](linksInboxSize)
+}
+
+// newLinks starts the event loop of the connections.
+// It returns a failure of kind Internal when the operating system refuses.
+func newLinks(inbox *actor.Inbox[linksInput], core *actor.Inbox[coreInput], log eventLog, counters *counters) (*links, error) {
+	l := &links{inbox: inbox, core: core, log: log, counters: counters, connections: map[agent.LinkID]*connection{}}
+	loop := &traffic{core: core, links: inbox, log: log, counters: counters}
+	client, err := gnet.NewClient(loop, gnet.WithLogger(quiet(log)), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "create the client of the links")
+	}
+	if err := client.Start(); err != nil {
+		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "start the client of the links")
+	}
+	l.client = client
+	return l, nil
+}
+
+// quiet gives the network library a logger for its errors only; what matters
+// to operators is logged as numbered events.
+func quiet(log eventLog) *zap.SugaredLogger {
+	return log.zap.WithOptions(zap.IncreaseLevel(zapcore.ErrorLevel)).Sugar()
+}
+
+func (l *links) run(ctx context.Context) {
+	l.ctx = ctx
+	l.lastTick = time.Now()
+	actor.Run(ctx, l.inbox, linksPeriod, l)
+	// Event loops that wait for room in an inbox are released by its end.
+	_ = l.client.Stop()
+}
+
+// Handle passes one message to the connection that it is about.
+func (l *links) Handle(now time.Time, in linksInput) bool {
+	switch m := in.(type) {
+	case *dialLink:
+		l.dial(now, m)
+	case *finishLinks:
+		l.finish()
+	case *sendMessage:
+		l.send(now, m)
+	case *closeLink:
+		l.fire(m.link, connectionEvents.Close)
+	case *linkOpened:
+		l.opened(now, m)
+	case *linkEnded:
+		l.fire(m.link, connectionEvents.Ended)
+	case *linkHeard:
+		l.heard(m)
+	case *linkWritten:
+		l.written(m)
+	}
+	return !l.finished()
+}
+
+// Tick sends heartbeats, closes silent connections and looks after writes.
+func (l *links) Tick(now time.Time) bool {
+	l.excusePause(now)
+	for _, c := range l.connections {
+		c.tick(now)
+	}
+	return !l.finished()
+}
+
+// Flush does nothing: messages are written as they come.
+func (l *links) Flush(time.Time) {}
+
+func (l *links) finished() bool { return l.finishing && len(l.connections) == 0 }
+
+func (l *links) dial(now time.Time, m *dialLink) {
+	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
+	l.connections[m.link] = newConnection(m.link, m.address, l, cancel, now)
+	go l.open(ctx, cancel, m.link, m.address)
+}
+
+// open runs on its own goroutine. The event loop reports the connection if
+// there is one; else this does.
+func (l *links) open(ctx context.Context, cancel context.CancelFunc, link agent.LinkID, address string) {
+	defer cancel()
+	session := &session{link: link}
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_, err = l.client.EnrollContext(conn, session)
+	}
+	// The event loop sets opened before EnrollContext returns; registration can
+	// fail without an error.
+	if err == nil && session.opened {
+		return
+	}
+	l.inbox.Send(&linkEnded{link: link})
+	l.core.Send(coreInput{message: &agent.LinkClosed{Link: link}})
+}
+
+func (l *links) finish() {
+	l.finishing = true
+	for _, c := range l.connections {
+		c.fire(connectionEvents.Finish)
+	}
+}
+
+func (l *links) send(now time.Time, m *sendMessage) {
+	if c := l.connections[m.link]; c != nil {
+		c.send(now, m.message)
+	}
+}
+
+func (l *links) opened(now time.Time, m *linkOpened) {
+	c := l.connections[m.link]
+	c.conn = m.conn
+	c.lastHeard = now
+	c.lastSent = now
+	c.fire(connectionEvents.Opened)
+}
+
+func (l *links) heard(m *linkHeard) {
+	if c := l.connections[m.link]; c != nil {
+		c.lastHeard = m.at
+	}
+}
+
+func (l *links) written(m *linkWritten) {
+	if c := l.connections[m.link]; c != nil {
+		c.written(m)
+	}
+}
+
+func (l *links) fire(link agent.LinkID, e connectionEvent) {
+	if c := l.connections[link]; c != nil {
+		c.fire(e)
+	}
+}
+
+// excusePause counts a pause of this process as if it had not been.
+func (l *links) excusePause(now time.Time) {
+	pause := now.Sub(l.lastTick)
+	l.lastTick = now
+	if pause < pauseLimit {
+		return
+	}
+	for _, c := range l.connections {
+		c.lastHeard = c.lastHeard.Add(pause)
+	}
+}
--- /dev/null
+++ b/internal/agentd/links_test.go
@@ -0,0 +1,113 @@
+package agentd
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/structs"
+)
+
+func startLinks(t *testing.T) (*links, <-chan coreInput) {
+	t.Helper()
+	core, seen := collect[coreInput](t)
+	l, err := newLinks(newLinksInbox(), core, newEventLog(nil), newCounters())
+	is.New(t).NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() { cancel(); <-l.inbox.Done() })
+	go l.run(ctx)
+	return l, seen
+}
+
+func TestBrokenFrameHarmsNoOtherLink(t *testing.T) {
+	for name, bytes := range map[string][]byte{
+		"oversized":    {0xff, 0xff, 0xff, 0xff},
+		"not protobuf": {0, 0, 0, 2, 0xff, 0xff},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, seen := startLinks(t)
+			listener := listen(t)
+			l.inbox.Send(&dialLink{link: 1, address: listener.Addr().String()})
+			bad := accept(t, listener)
+			is.Equal((<-seen).message, &agent.LinkOpened{Link: 1})
+			l.inbox.Send(&dialLink{link: 2, address: listener.Addr().String()})
+			good := accept(t, listener)
+			is.Equal((<-seen).message, &agent.LinkOpened{Link: 2})
+
+			_, err := bad.conn.Write(bytes)
+			is.NoErr(err)
+			is.Equal((<-seen).message, &agent.LinkClosed{Link: 1})
+			is.Equal(bad.receive(), nil)
+
+			good.send(&structs.FromEntry{Heartbeat: true})
+			m := (<-seen).message.(*agent.EntryMessage)
+			is.Equal(m.Link, agent.LinkID(2))
+			l.inbox.Send(&sendMessage{link: 2, message: &structs.FromAgent{Revision: 7}})
+			is.Equal(good.receive().Revision, uint64(7))
+		})
+	}
+}
+
+func TestEveryDialHasOneOutcome(t *testing.T) {
+	is := is.New(t)
+	l, seen := startLinks(t)
+	listener := listen(t)
+	l.inbox.Send(&dialLink{link: 1, address: listener.Addr().String()})
+	first := accept(t, listener)
+	is.Equal((<-seen).message, &agent.LinkOpened{Link: 1})
+	is.NoErr(first.conn.Close()) // the entry ends the connection
+	is.Equal((<-seen).message, &agent.LinkClosed{Link: 1})
+	l.inbox.Send(&closeLink{link: 1}) // late
+
+	l.inbox.Send(&dialLink{link: 2, address: listener.Addr().String()})
+	second := accept(t, listener)
+	is.Equal((<-seen).message, &agent.LinkOpened{Link: 2})
+	l.inbox.Send(&closeLink{link: 2}) // the agent ends the connection
+	l.inbox.Send(&closeLink{link: 2})
+	is.Equal((<-seen).message, &agent.LinkClosed{Link: 2})
+	is.Equal(second.receive(), nil)
+
+	is.NoErr(listener.Close())
+	l.inbox.Send(&dialLink{link: 3, address: listener.Addr().String()})
+	is.Equal((<-seen).message, &agent.LinkClosed{Link: 3})
+	is.Equal(len(seen), 0)
+}
+
+func TestLargeMessagesArriveWholeAndInOrder(t *testing.T) {
+	is := is.New(t)
+	l, seen := startLinks(t)
+	listener := listen(t)
+	l.inbox.Send(&dialLink{link: 1, address: listener.Addr().String()})
+	e := accept(t, listener)
+	is.Equal((<-seen).message, &agent.LinkOpened{Link: 1})
+	const messages = 20
+	payload := make([]byte, maxAnswerBytes)
+	for i := range uint64(messages) {
+		l.inbox.Send(&sendMessage{link: 1, message: &structs.FromAgent{Revision: i + 1, Results: []structs.Result{{Payload: payload}}}})
+	}
+	l.inbox.Send(&finishLinks{}) // waits for the last byte
+	for i := range uint64(messages) {
+		m := e.receive()
+		is.Equal(m.Revision, i+1)
+		is.Equal(len(m.Results[0].Payload), len(payload))
+	}
+	is.Equal(e.receive(), nil)
+	<-l.inbox.Done()
+}
+
+func TestEntryThatReadsNothingIsCutOff(t *testing.T) {
+	is := is.New(t)
+	l, seen := startLinks(t)
+	listener := listen(t)
+	l.inbox.Send(&dialLink{link: 1, address: listener.Addr().String()})
+	accept(t, listener)
+	is.Equal((<-seen).message, &agent.LinkOpened{Link: 1})
+	payload := make([]byte, maxAnswerBytes)
+	for range 2 * outboundLimit / maxAnswerBytes {
+		l.inbox.Send(&sendMessage{link: 1, message: &structs.FromAgent{Results: []structs.Result{{Payload: payload}}}})
+	}
+	is.Equal((<-seen).message, &agent.LinkClosed{Link: 1})
+}
--- /dev/null
+++ b/internal/agentd/probe.go
@@ -0,0 +1,134 @@
+package agentd
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"cactuspost.example/charts"
+	"cactuspost.example/internal/actor"
+	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/chart"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/failure"
+)
+
+const (
+	// probeConnections is the number of connections that the probe uses.
+	probeConnections = 1
+	// probeInboxSize bounds the hints that wait; senders drop those over it.
+	probeInboxSize = 64
+	// probePeriod is the resolution of the times below.
+	probePeriod = 100 * time.Millisecond
+	// probeInterval is the time between two checks of an endpoint that is idle.
+	probeInterval = time.Second
+	// probeTimeout bounds one check.
+	probeTimeout = time.Second
+)
+
+// probeInput is what the end of a task says about the endpoint.
+type probeInput struct{ answered bool }
+
+// probe checks the endpoint and reports changes to the core. It follows the
+// chart of the same name. A check blocks its goroutine, and nobody waits for it.
+type probe struct {
+	state    chart.State
+	inbox    *actor.Inbox[probeInput]
+	core     *actor.Inbox[coreInput]
+	log      eventLog
+	endpoint string
+	client   fasthttp.HostClient
+	// next is when the next check is due.
+	next time.Time
+	// err is the cause of the last failed check.
+	err error
+}
+
+var probeChart = chart.MustCompile(charts.Files, "probe", chart.Bindings[*probe]{
+	Actions: map[string]func(*probe){
+		"report_up":   (*probe).reportUp,
+		"report_down": (*probe).reportDown,
+		"check_soon":  (*probe).checkSoon,
+	},
+})
+
+var probeEvents struct {
+	Passed chart.Event `chart:"passed"`
+	Failed chart.Event `chart:"failed"`
+}
+
+func init() { probeChart.MustNames(&probeEvents) }
+
+func newProbe(inbox *actor.Inbox[probeInput], core *actor.Inbox[coreInput], endpoint string, log eventLog) *probe {
+	return &probe{
+		state: probeChart.Initial(), inbox: inbox, core: core, endpoint: endpoint, log: log,
+		client: fasthttp.HostClient{Addr: endpoint, MaxConns: probeConnections},
+	}
+}
+
+func (p *probe) run(ctx context.Context) {
+	p.check()
+	actor.Run(ctx, p.inbox, probePeriod, p)
+	p.client.CloseIdleConnections()
+}
+
+// Handle puts the next check off if the endpoint has just answered, and makes
+// it due if a connection broke.
+func (p *probe) Handle(now time.Time, in probeInput) bool {
+	p.next = now
+	if in.answered {
+		p.next = now.Add(probeInterval)
+	}
+	return true
+}
+
+// Tick makes a check if one is due.
+func (p *probe) Tick(now time.Time) bool {
+	if !now.Before(p.next) {
+		p.check()
+	}
+	return true
+}
+
+// Flush does nothing: changes are reported as they are found.
+func (p *probe) Flush(time.Time) {}
+
+func (p *probe) check() {
+	result := probeEvents.Passed
+	if p.err = p.ask(); p.err != nil {
+		result = probeEvents.Failed
+	}
+	p.next = time.Now().Add(probeInterval)
+	probeChart.Fire(&p.state, result, p)
+}
+
+// ask sends one request on a new connection: it is the endpoint's listener that
+// is checked, too.
+func (p *probe) ask() error {
+	var request fasthttp.Request
+	var response fasthttp.Response
+	request.SetRequestURI("http://" + p.endpoint + HealthPath)
+	request.SetConnectionClose()
+	if err := p.client.DoTimeout(&request, &response, probeTimeout); err != nil {
+		return errors.WithStack(err)
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		return failure.Newf(failure.EndpointLost, failure.NotRun, "health check answered with status %d", response.StatusCode())
+	}
+	return nil
+}
+
+func (p *probe) checkSoon() { p.next = time.Now() }
+
+func (p *probe) reportUp() {
+	p.log.happened(event.EndpointUp, zap.String("endpoint", p.endpoint))
+	p.core.Send(coreInput{message: &agent.EndpointChanged{Up: true}})
+}
+
+func (p *probe) reportDown() {
+	p.log.happened(event.EndpointDown, zap.String("endpoint", p.endpoint), zap.Error(p.err))
+	p.core.Send(coreInput{message: &agent.EndpointChanged{Up: false}})
+}
--- a/internal/event/agent.go
+++ b/internal/event/agent.go
@@ -9,6 +9,16 @@
 	TaskOverLimit     ID = 2010
 	BadFrameFromEntry ID = 2020
 	GrantRefused      ID = 2021
+	MessageNotEncoded ID = 2022
+	LinkOverflow      ID = 2023
+	LinkSilent        ID = 2024
+	LinksOverrun      ID = 2025
+	RunnerOverrun     ID = 2026
+	EndpointUp        ID = 2030
+	EndpointDown      ID = 2031
+	AgentStarted      ID = 2040
+	AgentStopping     ID = 2041
+	AgentStopped      ID = 2042
 )
 
 var agentEvents = []Description{
@@ -19,4 +29,14 @@
 	{TaskOverLimit, Warning, "task over limit", "A task ran longer than its service allows and was stopped.", "Raise task_limit_ms or mend the task."},
 	{BadFrameFromEntry, Fault, "bad frame from entry", "Bytes on a link were not a valid frame; the link was closed.", "Check that the peer is an entry of this release."},
 	{GrantRefused, Info, "grant refused", "A grant was refused before its start; the entry grants the task again.", "None."},
+	{MessageNotEncoded, Fault, "message not encoded", "A message for an entry was over the limit of the link; the link was closed.", "Lower the size of the tasks' results."},
+	{LinkOverflow, Warning, "link overflow", "An entry took bytes too slowly and its queue was full; the link was closed and results are sent again later.", "Check the entry's load and the network."},
+	{LinkSilent, Warning, "link silent", "Nothing arrived from an entry for longer than the heartbeat timeout; the link was closed.", "Check the entry and the network, if it repeats."},
+	{LinksOverrun, Fault, "links overrun", "More messages waited for the links than there is room for; a link was closed or not dialled.", "Check the agent's share of processor time."},
+	{RunnerOverrun, Fault, "runner overrun", "More messages waited for the endpoint client than there is room for; a task ended before it was sent.", "Report it: the room covers every slot."},
+	{EndpointUp, Info, "endpoint up", "The endpoint answers health checks; its slots are offered.", "None."},
+	{EndpointDown, Warning, "endpoint down", "The endpoint does not answer health checks; its slots are not offered.", "Check the endpoint on this worker."},
+	{AgentStarted, Info, "agent started", "The agent listens for operators and dials the entries.", "None."},
+	{AgentStopping, Info, "agent stopping", "A planned stop was asked for; no more grants are taken.", "None."},
+	{AgentStopped, Info, "agent stopped", "The planned stop is done: every started task ended and its result was delivered, or its entry is gone.", "None."},
 }
