Settings, logging, and the callers' HTTP interface

Settings files are checked as a whole: each fault with key, line and what is allowed. Events of daemons, and docs/events.md generated from the catalogue. The HTTP interface as types with strict requests and one table of statuses.

--- /dev/null
+++ b/internal/api/failure.go
@@ -0,0 +1,132 @@
+package api
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/structs"
+)
+
+// FailureForm is the form of a failure.
+type FailureForm struct {
+	Kind   failure.Kind `json:"kind"`
+	Run    failure.Run  `json:"run"`
+	Detail string       `json:"detail,omitempty"`
+	// RetryAfter is when to try again; zero means that a retry is of no use.
+	RetryAfter structs.Millis `json:"retry_after_ms,omitempty"`
+}
+
+// FailureAnswer is the body of each answer with an error status.
+type FailureAnswer struct {
+	Failure *FailureForm `json:"failure"`
+}
+
+// RetryAfterHeader gives the time of FailureForm in whole seconds, rounded up.
+const RetryAfterHeader = "Retry-After"
+
+// statuses maps each kind of failure to its HTTP status.
+var statuses = map[failure.Kind]int{
+	failure.Internal:        http.StatusInternalServerError,
+	failure.Invalid:         http.StatusBadRequest,
+	failure.TooLarge:        http.StatusRequestEntityTooLarge,
+	failure.Unauthorized:    http.StatusUnauthorized,
+	failure.Forbidden:       http.StatusForbidden,
+	failure.UnknownService:  http.StatusNotFound,
+	failure.UnknownJob:      http.StatusNotFound,
+	failure.Conflict:        http.StatusConflict,
+	failure.NeverRuns:       http.StatusUnprocessableEntity,
+	failure.Overloaded:      http.StatusServiceUnavailable,
+	failure.QuotaExceeded:   http.StatusTooManyRequests,
+	failure.Draining:        http.StatusServiceUnavailable,
+	failure.Unavailable:     http.StatusServiceUnavailable,
+	failure.NoConfiguration: http.StatusServiceUnavailable,
+	failure.TaskFailed:      http.StatusBadGateway,
+	failure.TimeLimit:       http.StatusGatewayTimeout,
+	failure.EndpointLost:    http.StatusBadGateway,
+	failure.OwnerLost:       http.StatusGone,
+	failure.Cancelled:       http.StatusGone,
+	failure.Expired:         http.StatusGone,
+}
+
+// kinds maps a status without a readable body, such as a balancer's own, to a
+// kind. Any other status is Unavailable.
+var kinds = map[int]failure.Kind{
+	http.StatusBadRequest:            failure.Invalid,
+	http.StatusUnauthorized:          failure.Unauthorized,
+	http.StatusForbidden:             failure.Forbidden,
+	http.StatusNotFound:              failure.Invalid,
+	http.StatusMethodNotAllowed:      failure.Invalid,
+	http.StatusConflict:              failure.Conflict,
+	http.StatusGone:                  failure.OwnerLost,
+	http.StatusRequestEntityTooLarge: failure.TooLarge,
+	http.StatusUnprocessableEntity:   failure.NeverRuns,
+	http.StatusTooManyRequests:       failure.QuotaExceeded,
+	http.StatusInternalServerError:   failure.Internal,
+}
+
+// Status returns the HTTP status of a kind of failure.
+func Status(kind failure.Kind) int {
+	if status, ok := statuses[kind]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// EncodeFailure returns status, body and the value of RetryAfterHeader, which
+// is empty when a retry is of no use. Causes stay inside.
+func EncodeFailure(f *failure.Failure) (status int, body []byte, retryAfter string) {
+	body, err := Encode(FailureAnswer{Failure: formOf(f)})
+	if err != nil {
+		body = []byte(`{"failure":{"kind":"internal","run":"unknown"}}`)
+	}
+	return Status(f.Kind), body, formatRetryAfter(f.RetryAfter)
+}
+
+// DecodeFailure returns the failure of an answer with an error status. A body
+// that is not of this interface comes from something in between: its failure
+// has an unknown outcome.
+func DecodeFailure(status int, body []byte, retryAfter string) *failure.Failure {
+	var answer FailureAnswer
+	if err := DecodeLenient(body, &answer); err == nil && answer.Failure != nil {
+		return answer.Failure.Failure()
+	}
+	kind, ok := kinds[status]
+	if !ok {
+		kind = failure.Unavailable
+	}
+	f := failure.Newf(kind, failure.Unknown, "HTTP status %d without a failure in its body", status)
+	return f.WithRetry(parseRetryAfter(retryAfter))
+}
+
+// Failure returns the failure of the form.
+func (f *FailureForm) Failure() *failure.Failure {
+	return failure.New(f.Kind, f.Run, f.Detail).WithRetry(max(0, f.RetryAfter.Duration()))
+}
+
+func formOf(f *failure.Failure) *FailureForm {
+	return &FailureForm{Kind: f.Kind, Run: f.Run, Detail: f.Detail, RetryAfter: ceilMillis(f.RetryAfter)}
+}
+
+func ceilMillis(d time.Duration) structs.Millis {
+	return structs.Millis((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+func formatRetryAfter(d time.Duration) string {
+	if d <= 0 {
+		return ""
+	}
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
+
+// maxRetryAfterSeconds bounds what a header may ask for: one day.
+const maxRetryAfterSeconds = 86_400
+
+func parseRetryAfter(text string) time.Duration {
+	seconds, err := strconv.ParseUint(text, 10, 32)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRetryAfterSeconds)) * time.Second
+}
--- /dev/null
+++ b/internal/api/request.go
@@ -0,0 +1,146 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/structs"
+)
+
+// Bounds that hold for every service. A service's own bounds may be narrower.
+const (
+	// MaxCreateCount bounds the ids of one request.
+	MaxCreateCount = 10_000
+	// MaxNameBytes bounds the names of services and kinds.
+	MaxNameBytes = 64
+	// MaxDeclared bounds a declared run time.
+	MaxDeclared = 24 * time.Hour
+)
+
+// Limits bound a decoded request. A zero field means no bound.
+type Limits struct {
+	// Body is the longest body in bytes.
+	Body int
+	// Tasks is the most tasks of one job.
+	Tasks int
+	// TaskBytes is the longest payload of one task.
+	TaskBytes int
+}
+
+// CreateRequest asks for ids of new jobs.
+type CreateRequest struct {
+	Service string `json:"service"`
+	// Count is the number of ids; left out, it is 1.
+	Count int `json:"count"`
+}
+
+// JobRequest brings the tasks of one job.
+type JobRequest struct {
+	Service string        `json:"service"`
+	Needs   structs.Needs `json:"needs"`
+	Tasks   []TaskRequest `json:"tasks"`
+}
+
+// TaskRequest is one task of a JobRequest.
+type TaskRequest struct {
+	Kind     string         `json:"kind"`
+	Declared structs.Millis `json:"declared_ms"`
+	// Payload is Base64 in JSON.
+	Payload []byte `json:"payload"`
+}
+
+// DecodeCreate reads and checks a CreateRequest.
+// The error is a failure of kind Invalid or TooLarge, not run.
+func DecodeCreate(body []byte, limits Limits) (*CreateRequest, error) {
+	request := &CreateRequest{Count: 1}
+	if err := decodeStrict(body, limits, request); err != nil {
+		return nil, err
+	}
+	if err := checkName("service", request.Service); err != nil {
+		return nil, err
+	}
+	if request.Count < 1 || request.Count > MaxCreateCount {
+		return nil, invalid(fmt.Sprintf("count is not from 1 to %d", MaxCreateCount))
+	}
+	return request, nil
+}
+
+// DecodeJob reads and checks a JobRequest.
+// The error is a failure of kind Invalid or TooLarge, not run.
+func DecodeJob(body []byte, limits Limits) (*JobRequest, error) {
+	request := &JobRequest{}
+	if err := decodeStrict(body, limits, request); err != nil {
+		return nil, err
+	}
+	if err := checkName("service", request.Service); err != nil {
+		return nil, err
+	}
+	if len(request.Tasks) == 0 {
+		return nil, invalid("a job has at least one task")
+	}
+	if exceeds(len(request.Tasks), limits.Tasks) {
+		return nil, tooLarge(fmt.Sprintf("%d tasks; the limit is %d", len(request.Tasks), limits.Tasks))
+	}
+	for i := range request.Tasks {
+		if err := checkTask(i, &request.Tasks[i], limits); err != nil {
+			return nil, err
+		}
+	}
+	return request, nil
+}
+
+// Submission returns the job as the decisions take it. Team comes from the
+// request's token.
+func (r *JobRequest) Submission(id structs.JobID, team string) structs.Submission {
+	tasks := make([]structs.Task, len(r.Tasks))
+	for i, t := range r.Tasks {
+		tasks[i] = structs.Task{Kind: t.Kind, Declared: t.Declared.Duration(), Payload: t.Payload}
+	}
+	return structs.Submission{ID: id, Team: team, Service: r.Service, Needs: r.Needs, Tasks: tasks}
+}
+
+func checkTask(index int, task *TaskRequest, limits Limits) error {
+	if err := checkName(fmt.Sprintf("tasks[%d].kind", index), task.Kind); err != nil {
+		return err
+	}
+	if task.Declared < 0 || task.Declared > structs.Millis(MaxDeclared.Milliseconds()) {
+		return invalid(fmt.Sprintf("tasks[%d].declared_ms is not from 0 to %d", index, MaxDeclared.Milliseconds()))
+	}
+	if exceeds(len(task.Payload), limits.TaskBytes) {
+		return tooLarge(fmt.Sprintf("tasks[%d].payload has %d bytes; the limit is %d", index, len(task.Payload), limits.TaskBytes))
+	}
+	return nil
+}
+
+func checkName(field, name string) error {
+	if name == "" || len(name) > MaxNameBytes {
+		return invalid(fmt.Sprintf("%s is not a name of 1 to %d bytes", field, MaxNameBytes))
+	}
+	return nil
+}
+
+// decodeStrict reads one JSON value and nothing else.
+func decodeStrict(body []byte, limits Limits, target any) error {
+	if exceeds(len(body), limits.Body) {
+		return tooLarge(fmt.Sprintf("the body has %d bytes; the limit is %d", len(body), limits.Body))
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return failure.Wrap(err, failure.Invalid, failure.NotRun, "the body is not such a request")
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return invalid("the body goes on after the request")
+	}
+	return nil
+}
+
+func exceeds(n, limit int) bool { return limit > 0 && n > limit }
+
+func tooLarge(detail string) *failure.Failure {
+	return failure.New(failure.TooLarge, failure.NotRun, detail)
+}
--- /dev/null
+++ b/internal/event/page_test.go
@@ -0,0 +1,15 @@
+package event
+
+import (
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestPageIsGenerated(t *testing.T) {
+	is := is.New(t)
+	raw, err := os.ReadFile("../../docs/events.md")
+	is.NoErr(err)
+	is.Equal(string(raw), Page()) // run: go generate ./internal/event
+}
--- /dev/null
+++ b/internal/settings/entry.go
@@ -0,0 +1,144 @@
+package settings
+
+import (
+	"time"
+
+	"cactuspost.example/internal/event"
+)
+
+// Entry is the settings of one entry instance.
+type Entry struct {
+	Name       string
+	DataCentre string
+	// HTTPAddress is where callers and operators connect, LinkAddress where
+	// agents connect, PeerAddress where other entries connect: IP:port each.
+	HTTPAddress string
+	LinkAddress string
+	PeerAddress string
+	// Advertise holds the same three addresses as others reach them.
+	Advertise Addresses
+	// TableAddress is the platform's table service, IP:port.
+	TableAddress string
+	// Lease is how long the instance counts as alive after its last renewal.
+	Lease  time.Duration
+	Limits Limits
+	// Callers may submit jobs, each for its team.
+	Callers []Caller
+	// Operators may see all endpoints and apply release notes.
+	Operators []Operator
+	// TLS is nil for plain HTTP.
+	TLS *TLS
+	// Pprof serves profiles to operators.
+	Pprof bool
+	// DrainTimeout bounds a planned stop; 0 means the jobs' own lifetimes.
+	DrainTimeout time.Duration
+	LogLevel     event.Severity
+}
+
+// Addresses are an entry's addresses, IP:port each.
+type Addresses struct{ HTTP, Link, Peer string }
+
+// Limits bound what callers may take of the HTTP server.
+type Limits struct {
+	// MaxBody is the longest request body in bytes.
+	MaxBody int
+	// MaxConnections bounds the open connections.
+	MaxConnections int
+	// HeaderTimeout bounds the arrival of a request.
+	HeaderTimeout time.Duration
+}
+
+// Caller is a token of one team. A team may have several.
+type Caller struct {
+	Team  string
+	Token Secret
+}
+
+// Operator is the token of one operator.
+type Operator struct {
+	Name  string
+	Token Secret
+}
+
+// TLS names the files of the HTTP server's certificate, PEM each.
+type TLS struct {
+	CertFile string
+	KeyFile  string
+}
+
+// Bounds and defaults of the entry's settings.
+const (
+	minLeaseMS             = 1_000
+	maxLeaseMS             = 600_000
+	defaultLeaseMS         = 10_000
+	minBodyBytes           = 1 << 10
+	maxBodyBytes           = 64 << 20
+	defaultBodyBytes       = 8 << 20
+	maxConnections         = 65_536
+	defaultConnections     = 4_096
+	minHeaderTimeoutMS     = 100
+	maxHeaderTimeoutMS     = 60_000
+	defaultHeaderTimeoutMS = 5_000
+	maxDrainTimeoutMS      = 24 * 3_600_000
+)
+
+func readEntry(o *object, files fileReader) *Entry {
+	e := &Entry{
+		Name:         o.text("name", nameRule),
+		DataCentre:   o.text("data_centre", placeRule),
+		HTTPAddress:  o.text("http_address", listenRule),
+		LinkAddress:  o.text("link_address", listenRule),
+		PeerAddress:  o.text("peer_address", listenRule),
+		TableAddress: o.text("table_address", reachableRule),
+		Lease:        millis(o.integerOr("lease_ms", defaultLeaseMS, minLeaseMS, maxLeaseMS)),
+		Limits:       readLimits(o.child("limits")),
+		Pprof:        o.boolean("pprof"),
+		DrainTimeout: millis(o.integerOr("drain_timeout_ms", 0, 0, maxDrainTimeoutMS)),
+		LogLevel:     readLevel(o),
+	}
+	e.Advertise = readAdvertise(o, e)
+	e.TLS = readTLS(o.child("tls"), files)
+	tokens := tokenReader{files: files, seen: map[string]string{}}
+	e.Callers = tokens.callers(o)
+	e.Operators = tokens.operators(o)
+	o.finish()
+	return e
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func readLimits(o *object) Limits {
+	if o == nil {
+		o = &object{doc: &document{}}
+	}
+	limits := Limits{
+		MaxBody:        int(o.integerOr("max_body_bytes", defaultBodyBytes, minBodyBytes, maxBodyBytes)),
+		MaxConnections: int(o.integerOr("max_connections", defaultConnections, 1, maxConnections)),
+		HeaderTimeout:  millis(o.integerOr("header_timeout_ms", defaultHeaderTimeoutMS, minHeaderTimeoutMS, maxHeaderTimeoutMS)),
+	}
+	o.finish()
+	return limits
+}
+
+// readAdvertise takes the listening addresses for those that the file leaves
+// out. An unspecified listening IP can't be advertised.
+func readAdvertise(o *object, e *Entry) Addresses {
+	parent := o
+	o = o.child("advertise")
+	if o == nil {
+		o = &object{doc: parent.doc, path: parent.key("advertise"), line: parent.line}
+	}
+	pick := func(key, listen string) string {
+		if !o.has(key) && unspecified(listen) {
+			o.faultAt(key, missing, reachableRule.allowed)
+		}
+		return o.textOr(key, listen, reachableRule)
+	}
+	addresses := Addresses{
+		HTTP: pick("http_address", e.HTTPAddress),
+		Link: pick("link_address", e.LinkAddress),
+		Peer: pick("peer_address", e.PeerAddress),
+	}
+	o.finish()
+	return addresses
+}
--- /dev/null
+++ b/internal/settings/reader.go
@@ -0,0 +1,277 @@
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// document is a settings file under reading. It collects the faults.
+type document struct {
+	raw    []byte
+	faults Faults
+}
+
+// object is one JSON object of the document and its place in it.
+type object struct {
+	doc     *document
+	path    string
+	line    int
+	members map[string]*hujson.Value
+	// used lists the keys that the settings know, in the order of reading.
+	used []string
+}
+
+// parseDocument reads the outermost object. A syntax error is a fault, and the
+// object is then nil.
+func parseDocument(raw []byte) (*document, *object) {
+	doc := &document{raw: raw}
+	value, err := hujson.Parse(raw)
+	if err != nil {
+		doc.fault("file", syntaxLine(err), err.Error(), "JSON with comments and trailing commas")
+		return doc, nil
+	}
+	return doc, doc.object("file", "", &value)
+}
+
+// syntaxLine finds the line in the error text of the parser, or 0.
+func syntaxLine(err error) int {
+	var line int
+	if _, err := fmt.Sscanf(err.Error(), "hujson: line %d", &line); err != nil {
+		return 0
+	}
+	return line
+}
+
+func (d *document) fault(key string, line int, found, allowed string) {
+	d.faults = append(d.faults, &Fault{Key: key, Line: line, Found: found, Allowed: allowed})
+}
+
+// sorted returns the faults in the order of their lines.
+func (d *document) sorted() Faults {
+	slices.SortStableFunc(d.faults, func(a, b *Fault) int { return a.Line - b.Line })
+	return d.faults
+}
+
+func (d *document) lineOf(value *hujson.Value) int {
+	return 1 + bytes.Count(d.raw[:value.StartOffset], []byte("\n"))
+}
+
+// object reads a value as an object. It returns nil after a fault.
+func (d *document) object(key, path string, value *hujson.Value) *object {
+	found, ok := value.Value.(*hujson.Object)
+	if !ok {
+		d.fault(key, d.lineOf(value), describe(value), "an object")
+		return nil
+	}
+	o := &object{doc: d, path: path, line: d.lineOf(value), members: map[string]*hujson.Value{}}
+	for i := range found.Members {
+		member := &found.Members[i]
+		name := member.Name.Value.(hujson.Literal).String()
+		if o.members[name] != nil {
+			d.fault(o.key(name), d.lineOf(&member.Name), "the key stands twice", "each key once")
+		}
+		o.members[name] = &member.Value
+	}
+	return o
+}
+
+// describe names the type of a value, without the value.
+func describe(value *hujson.Value) string {
+	switch value.Value.Kind() {
+	case '{':
+		return "an object"
+	case '[':
+		return "a list"
+	case '"':
+		return "a text"
+	case '0':
+		return "a number"
+	case 'n':
+		return "null"
+	default:
+		return "a truth value"
+	}
+}
+
+func (o *object) key(name string) string {
+	if o.path == "" {
+		return name
+	}
+	return o.path + "." + name
+}
+
+// has reports whether the file sets the key.
+func (o *object) has(name string) bool { return o.members[name] != nil }
+
+// take returns the member's value, or nil, and notes that the key is known.
+func (o *object) take(name string) *hujson.Value {
+	o.used = append(o.used, name)
+	return o.members[name]
+}
+
+func (o *object) faultAt(name, found, allowed string) {
+	line := o.line
+	if value := o.members[name]; value != nil {
+		line = o.doc.lineOf(value)
+	}
+	o.doc.fault(o.key(name), line, found, allowed)
+}
+
+// finish reports the keys that nothing has read.
+func (o *object) finish() {
+	for _, name := range slices.Sorted(maps.Keys(o.members)) {
+		if slices.Contains(o.used, name) {
+			continue
+		}
+		value := o.members[name]
+		known := slices.Sorted(slices.Values(o.used))
+		o.doc.fault(o.key(name), o.doc.lineOf(value), "unknown key", strings.Join(known, ", "))
+	}
+}
+
+// missing is the found part of the fault for a required key.
+const missing = "missing"
+
+// text reads a required text.
+func (o *object) text(name string, r rule) string {
+	if !o.has(name) {
+		o.take(name)
+		o.faultAt(name, missing, r.allowed)
+		return ""
+	}
+	return o.textOr(name, "", r)
+}
+
+// textOr reads a text that has a default.
+func (o *object) textOr(name, fallback string, r rule) string {
+	value := o.take(name)
+	if value == nil {
+		return fallback
+	}
+	return o.doc.text(o.key(name), value, r)
+}
+
+func (d *document) text(key string, value *hujson.Value, r rule) string {
+	literal, ok := value.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '"' {
+		d.fault(key, d.lineOf(value), describe(value), r.allowed)
+		return ""
+	}
+	text := literal.String()
+	if r.ok(text) {
+		return text
+	}
+	found := strconv.Quote(text)
+	if r.secret {
+		found = redacted
+	}
+	d.fault(key, d.lineOf(value), found, r.allowed)
+	return ""
+}
+
+// texts reads a required list of texts, with at least one element.
+func (o *object) texts(name string, r rule) []string {
+	var list []string
+	for i, value := range o.elements(name, "a list of at least one "+r.allowed, true) {
+		list = append(list, o.doc.text(fmt.Sprintf("%s[%d]", o.key(name), i), value, r))
+	}
+	return list
+}
+
+// integer reads a required whole number within bounds.
+func (o *object) integer(name string, least, most int64) int64 {
+	if !o.has(name) {
+		o.take(name)
+		o.faultAt(name, missing, bounds(least, most))
+		return 0
+	}
+	return o.integerOr(name, 0, least, most)
+}
+
+// integerOr reads a whole number that has a default.
+func (o *object) integerOr(name string, fallback, least, most int64) int64 {
+	value := o.take(name)
+	if value == nil {
+		return fallback
+	}
+	literal, ok := value.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '0' {
+		o.faultAt(name, describe(value), bounds(least, most))
+		return 0
+	}
+	number, err := strconv.ParseInt(string(literal), 10, 64)
+	if err != nil || number < least || number > most {
+		o.faultAt(name, string(literal), bounds(least, most))
+		return 0
+	}
+	return number
+}
+
+func bounds(least, most int64) string {
+	return fmt.Sprintf("a whole number from %d to %d", least, most)
+}
+
+// boolean reads a truth value that is false by default.
+func (o *object) boolean(name string) bool {
+	value := o.take(name)
+	if value == nil {
+		return false
+	}
+	literal, ok := value.Value.(hujson.Literal)
+	if !ok || (literal.Kind() != 't' && literal.Kind() != 'f') {
+		o.faultAt(name, describe(value), "true or false")
+		return false
+	}
+	return literal.Bool()
+}
+
+// child reads an object that may be absent. It returns nil then, and after a
+// fault.
+func (o *object) child(name string) *object {
+	value := o.take(name)
+	if value == nil {
+		return nil
+	}
+	return o.doc.object(o.key(name), o.key(name), value)
+}
+
+// children reads a list of objects; faulty elements are left out.
+func (o *object) children(name, allowed string, required bool) []*object {
+	var list []*object
+	for i, value := range o.elements(name, allowed, required) {
+		key := fmt.Sprintf("%s[%d]", o.key(name), i)
+		if element := o.doc.object(key, key, value); element != nil {
+			list = append(list, element)
+		}
+	}
+	return list
+}
+
+func (o *object) elements(name, allowed string, required bool) []*hujson.Value {
+	value := o.take(name)
+	if value == nil {
+		if required {
+			o.faultAt(name, missing, allowed)
+		}
+		return nil
+	}
+	array, ok := value.Value.(*hujson.Array)
+	if !ok {
+		o.faultAt(name, describe(value), allowed)
+		return nil
+	}
+	if required && len(array.Elements) == 0 {
+		o.faultAt(name, "an empty list", allowed)
+	}
+	list := make([]*hujson.Value, len(array.Elements))
+	for i := range array.Elements {
+		list[i] = &array.Elements[i]
+	}
+	return list
+}
--- /dev/null
+++ b/internal/settings/rule.go
@@ -0,0 +1,92 @@
+package settings
+
+import (
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	"cactuspost.example/internal/event"
+)
+
+// rule says which texts a setting may have.
+type rule struct {
+	allowed string
+	ok      func(string) bool
+	// secret keeps the text out of faults.
+	secret bool
+}
+
+// Bounds of texts, in characters.
+const (
+	maxNameLength  = 64
+	minTokenLength = 16
+	maxTokenLength = 256
+	maxPathLength  = 4096
+)
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+var nameRule = rule{
+	allowed: "1 to 64 letters, digits, '.', '_' and '-', the first a letter or digit",
+	ok:      namePattern.MatchString,
+}
+
+var placeRule = rule{
+	allowed: "a place name of 1 to 64 printable characters",
+	ok: func(text string) bool {
+		return text != "" && utf8.ValidString(text) && utf8.RuneCountInString(text) <= maxNameLength &&
+			!strings.ContainsFunc(text, func(r rune) bool { return !unicode.IsPrint(r) })
+	},
+}
+
+// listenRule allows an unspecified IP, which means all interfaces.
+var listenRule = rule{
+	allowed: "IP:port with a numeric IP and a port from 1 to 65535",
+	ok: func(text string) bool {
+		address, err := netip.ParseAddrPort(text)
+		return err == nil && address.Port() != 0
+	},
+}
+
+var reachableRule = rule{
+	allowed: "IP:port with a numeric IP that others can reach (not 0.0.0.0 or [::]) and a port from 1 to 65535",
+	ok:      func(text string) bool { return listenRule.ok(text) && !unspecified(text) },
+}
+
+func unspecified(text string) bool {
+	address, err := netip.ParseAddrPort(text)
+	return err == nil && address.Addr().IsUnspecified()
+}
+
+var pathRule = rule{
+	allowed: "the path of a readable file",
+	ok:      func(text string) bool { return text != "" && len(text) <= maxPathLength },
+}
+
+var tokenRule = rule{
+	allowed: "16 to 256 printable ASCII characters without spaces",
+	secret:  true,
+	ok: func(text string) bool {
+		if len(text) < minTokenLength || len(text) > maxTokenLength {
+			return false
+		}
+		return !strings.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r > '~' })
+	},
+}
+
+var levelRule = rule{
+	allowed: strings.Join(levelNames(), ", "),
+	ok:      func(text string) bool { return slices.Contains(levelNames(), text) },
+}
+
+func levelNames() []string {
+	return []string{event.Info.String(), event.Warning.String(), event.Fault.String()}
+}
+
+func readLevel(o *object) event.Severity {
+	text := o.textOr("log_level", event.Info.String(), levelRule)
+	return event.Severity(max(0, slices.Index(levelNames(), text)))
+}
