--- /dev/null
+++ b/cmd/cactuspost-endpoint/main.go
@@ -0,0 +1,52 @@
+// Command cactuspost-endpoint is a sample of a customer's endpoint. It sleeps
+// instead of working, and counts how often each task was started: see /starts
+// and /totals.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"cactuspost.example/internal/standin"
+)
+
+func main() {
+	if err := command().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "cactuspost-endpoint",
+		Usage: "run sample tasks over HTTP",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Usage: "`ADDRESS` for tasks, IP:port", Value: "127.0.0.1:7300"},
+			&cli.FloatFlag{Name: "run-time-factor", Aliases: []string{"speed"}, Usage: "multiply each task's run time by this", Value: 1},
+			&cli.BoolFlag{Name: "fail-all", Usage: "fail every task at once"},
+		},
+		Action: run,
+	}
+}
+
+func run(_ context.Context, c *cli.Command) error {
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	endpoint, err := standin.StartEndpoint(standin.EndpointOptions{
+		Listen:    c.String("listen"),
+		Behaviour: standin.EndpointBehaviour{RunTimeFactor: c.Float("run-time-factor"), FailAll: c.Bool("fail-all")},
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Println("listening on", endpoint.Address())
+	<-stops
+	endpoint.Stop()
+	return nil
+}
--- a/internal/agentd/connection.go
+++ b/internal/agentd/connection.go
@@ -98,7 +98,7 @@
 func (c *connection) send(now time.Time, m *structs.FromAgent) {
 	frame, err := wire.AppendFromAgent(nil, m)
 	if err != nil {
-		c.owner.log.happened(event.MessageNotEncoded, zap.String("entry", c.address), zap.Error(err))
+		c.owner.log.Event(event.MessageNotEncoded, zap.String("entry", c.address), zap.Error(err))
 		c.fire(connectionEvents.Close)
 		return
 	}
@@ -186,9 +186,9 @@
 func (c *connection) forget() { delete(c.owner.connections, c.link) }
 
 func (c *connection) reportOverflow() {
-	c.owner.log.happened(event.LinkOverflow, zap.String("entry", c.address))
+	c.owner.log.Event(event.LinkOverflow, zap.String("entry", c.address))
 }
 
 func (c *connection) reportSilence() {
-	c.owner.log.happened(event.LinkSilent, zap.String("entry", c.address))
+	c.owner.log.Event(event.LinkSilent, zap.String("entry", c.address))
 }
--- a/internal/agentd/core.go
+++ b/internal/agentd/core.go
@@ -8,6 +8,7 @@
 	"cactuspost.example/internal/agent"
 	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/logging"
 )
 
 const (
@@ -66,7 +67,7 @@
 	decisions decisions
 	links     *actor.Inbox[linksInput]
 	runner    *actor.Inbox[runnerInput]
-	log       eventLog
+	log       *logging.Logger
 
 	endpointUp bool
 	drained    bool
@@ -82,7 +83,7 @@
 	returned []agent.Message
 }
 
-func newCore(inbox *actor.Inbox[coreInput], d decisions, links *actor.Inbox[linksInput], runner *actor.Inbox[runnerInput], log eventLog) *core {
+func newCore(inbox *actor.Inbox[coreInput], d decisions, links *actor.Inbox[linksInput], runner *actor.Inbox[runnerInput], log *logging.Logger) *core {
 	return &core{
 		inbox: inbox, decisions: d, links: links, runner: runner, log: log,
 		replies: map[uint64]chan<- Status{},
@@ -148,7 +149,7 @@
 	case *agent.StopTask:
 		c.stop(stopTask{grant: e.Grant})
 	case *agent.Happened:
-		c.log.decided(e)
+		logDecided(c.log, e)
 	case *agent.Inspected:
 		c.answer(e)
 	case *agent.Drained:
@@ -161,7 +162,7 @@
 	if c.links.TrySend(&dialLink{link: e.Link, address: e.Address}) {
 		return
 	}
-	c.log.happened(event.LinksOverrun)
+	c.log.Event(event.LinksOverrun)
 	c.returned = append(c.returned, &agent.LinkClosed{Link: e.Link})
 }
 
@@ -171,7 +172,7 @@
 	if c.blocked[link] || c.links.TrySend(m) {
 		return
 	}
-	c.log.happened(event.LinksOverrun)
+	c.log.Event(event.LinksOverrun)
 	c.blocked[link] = true
 }
 
@@ -181,7 +182,7 @@
 	if c.runner.TrySend(&startTask{grant: e.Grant}) {
 		return
 	}
-	c.log.happened(event.RunnerOverrun)
+	c.log.Event(event.RunnerOverrun)
 	exited := notSent(e.Grant.ID, failure.New(failure.Overloaded, failure.NotRun, "too many messages wait for the runner"))
 	c.returned = append(c.returned, exited)
 }
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -23,43 +23,27 @@
 	"cactuspost.example/internal/agent"
 	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/logging"
+	"cactuspost.example/internal/settings"
 	"cactuspost.example/internal/structs"
 )
 
 // Config is what an agent learns from its settings.
 type Config struct {
-	// Endpoint is the name of the endpoint, unique in its pool.
-	Endpoint   string
-	Pool       string
-	DataCentre string
-	// EndpointAddress is where the endpoint speaks HTTP, as host:port.
-	EndpointAddress string
-	// HTTPAddress is where operators reach the agent, as host:port.
-	HTTPAddress string
-	// Entries are the link addresses of some entries; the others are learnt.
-	Entries []string
-	// Slots is how many tasks run at the same time.
-	Slots int
-	// Connections bounds the connections to the endpoint. One is for health
-	// checks, so it is greater than Slots.
-	Connections int
-	Capacity    structs.Needs
-	// UnackedLimit bounds the results that wait for acknowledgement.
-	UnackedLimit int
+	settings.Agent
 	// Log may be nil.
-	Log *zap.Logger
+	Log *logging.Logger
 }
 
-func (c Config) check() error {
+// Check returns a failure of kind Invalid if an agent can't start with the
+// configuration.
+func (c Config) Check() error {
 	switch {
-	case c.Endpoint == "" || c.Pool == "":
-		return failure.New(failure.Invalid, failure.NotRun, "endpoint and pool need names")
-	case c.EndpointAddress == "" || c.HTTPAddress == "" || len(c.Entries) == 0:
-		return failure.New(failure.Invalid, failure.NotRun, "endpoint address, HTTP address and entries are needed")
 	case c.Slots < 1:
 		return failure.New(failure.Invalid, failure.NotRun, "at least one slot is needed")
 	case c.Connections < c.Slots+probeConnections:
-		return failure.Newf(failure.Invalid, failure.NotRun, "%d slots need at least %d connections", c.Slots, c.Slots+probeConnections)
+		return failure.Newf(failure.Invalid, failure.NotRun,
+			"%d slots need at least %d connections, %d of them for health checks", c.Slots, c.Slots+probeConnections, probeConnections)
 	}
 	return nil
 }
@@ -69,7 +53,7 @@
 	core        *actor.Inbox[coreInput]
 	links       *actor.Inbox[linksInput]
 	http        *httpServer
-	log         eventLog
+	log         *logging.Logger
 	incarnation structs.Incarnation
 	// cancel ends everything at once.
 	cancel context.CancelFunc
@@ -80,10 +64,13 @@
 }
 
 func start(ctx context.Context, c Config, incarnation structs.Incarnation, d decisions) (*Daemon, error) {
-	if err := c.check(); err != nil {
+	if err := c.Check(); err != nil {
 		return nil, err
 	}
-	log := newEventLog(c.Log)
+	log := c.Log
+	if log == nil {
+		log = logging.Discard()
+	}
 	counters := newCounters()
 	coreInbox := actor.NewInbox[coreInput](coreInboxSize)
 	linksInbox := newLinksInbox()
@@ -112,7 +99,8 @@
 	daemon.parts.Go(func() { links.run(ctx) })
 	go daemon.supervise(ctx, core)
 	server.start()
-	log.happened(event.AgentStarted, zap.String("endpoint", c.Endpoint), zap.Stringer("incarnation", incarnation))
+	log.Event(event.DaemonStarted, zap.String("endpoint", c.Endpoint), zap.Stringer("incarnation", incarnation))
+	log.Event(event.Listening, zap.String("address", server.address()))
 	return daemon, nil
 }
 
@@ -120,7 +108,7 @@
 // what runs is finished and delivered, and then the agent ends.
 func (d *Daemon) Stop() {
 	if d.core.Send(coreInput{message: &agent.Stop{}}) {
-		d.log.happened(event.AgentStopping)
+		d.log.Event(event.StopRequested)
 	}
 }
 
@@ -153,8 +141,9 @@
 	d.parts.Wait()
 	d.http.stop()
 	if d.drained {
-		d.log.happened(event.AgentStopped)
+		d.log.Event(event.Drained)
 	}
+	d.log.Event(event.DaemonStopped)
 }
 
 func newIncarnation() structs.Incarnation {
--- a/internal/agentd/daemon_test.go
+++ b/internal/agentd/daemon_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"cactuspost.example/internal/failure"
 	"cactuspost.example/internal/standin"
 	"cactuspost.example/internal/structs"
 )
@@ -17,10 +18,7 @@
 func startDaemon(t *testing.T, endpoint *standin.Endpoint) (*Daemon, *entry) {
 	t.Helper()
 	l := listen(t)
-	c := Config{
-		Endpoint: "w1", Pool: "p", EndpointAddress: endpoint.Address(), HTTPAddress: "127.0.0.1:0",
-		Entries: []string{l.Addr().String()}, Slots: 8, Connections: 64,
-	}
+	c := config(endpoint.Address(), l.Addr().String())
 	ctx, cancel := context.WithCancel(context.Background())
 	d, err := start(ctx, c, 1, &relay{entry: l.Addr().String()})
 	is.New(t).NoErr(err)
@@ -84,10 +82,13 @@
 
 func TestFaultyConfigurationIsRefused(t *testing.T) {
 	is := is.New(t)
-	good := Config{Endpoint: "w", Pool: "p", EndpointAddress: "a", HTTPAddress: "b", Entries: []string{"c"}, Slots: 8, Connections: 9}
-	is.NoErr(good.check())
-	tooFew := good
-	tooFew.Connections = 8
-	is.True(tooFew.check() != nil)
-	is.True(Config{}.check() != nil)
+	c := config("127.0.0.1:1", "127.0.0.1:2")
+	is.NoErr(c.Check())
+	c.Connections = c.Slots // none is left for health checks
+	_, err := Start(context.Background(), c)
+	is.Equal(failure.Of(err).Kind, failure.Invalid)
+	c = config("127.0.0.1:1", "127.0.0.1:2")
+	c.HTTPAddress = "127.0.0.1:-1"
+	_, err = Start(context.Background(), c)
+	is.Equal(failure.Of(err).Kind, failure.Unavailable)
 }
--- a/internal/agentd/fakes_test.go
+++ b/internal/agentd/fakes_test.go
@@ -11,6 +11,7 @@
 
 	"cactuspost.example/internal/actor"
 	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/settings"
 	"cactuspost.example/internal/standin"
 	"cactuspost.example/internal/structs"
 	"cactuspost.example/internal/wire"
@@ -154,3 +155,10 @@
 func grant(task uint32, payload string) structs.Grant {
 	return structs.Grant{ID: structs.GrantID{Owner: 1, Job: 1, Task: task, Attempt: 1}, Service: "s", Kind: "k", Payload: []byte(payload)}
 }
+
+func config(endpoint, entry string) Config {
+	return Config{Agent: settings.Agent{
+		Endpoint: "w1", Pool: "p", DataCentre: "Matane", EndpointAddress: endpoint, HTTPAddress: "127.0.0.1:0",
+		Entries: []string{entry}, Slots: 8, Connections: 64, Capacity: structs.Needs{Cores: 16, MemoryMB: 32768},
+	}}
+}
--- a/internal/agentd/links.go
+++ b/internal/agentd/links.go
@@ -6,12 +6,11 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"cactuspost.example/internal/actor"
 	"cactuspost.example/internal/agent"
 	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/structs"
 )
 
@@ -87,7 +86,7 @@
 	inbox       *actor.Inbox[linksInput]
 	core        *actor.Inbox[coreInput]
 	client      *gnet.Client
-	log         eventLog
+	log         *logging.Logger
 	counters    *counters
 	connections map[agent.LinkID]*connection
 	finishing   bool
@@ -102,10 +101,10 @@
 
 // newLinks starts the event loop of the connections.
 // It returns a failure of kind Internal when the operating system refuses.
-func newLinks(inbox *actor.Inbox[linksInput], core *actor.Inbox[coreInput], log eventLog, counters *counters) (*links, error) {
+func newLinks(inbox *actor.Inbox[linksInput], core *actor.Inbox[coreInput], log *logging.Logger, counters *counters) (*links, error) {
 	l := &links{inbox: inbox, core: core, log: log, counters: counters, connections: map[agent.LinkID]*connection{}}
 	loop := &traffic{core: core, links: inbox, log: log, counters: counters}
-	client, err := gnet.NewClient(loop, gnet.WithLogger(quiet(log)), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
+	client, err := gnet.NewClient(loop, gnet.WithLogger(networkLog{log: log}), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "create the client of the links")
 	}
@@ -116,12 +115,6 @@
 	return l, nil
 }
 
-// quiet gives the network library a logger for its errors only; what matters
-// to operators is logged as numbered events.
-func quiet(log eventLog) *zap.SugaredLogger {
-	return log.zap.WithOptions(zap.IncreaseLevel(zapcore.ErrorLevel)).Sugar()
-}
-
 func (l *links) run(ctx context.Context) {
 	l.ctx = ctx
 	l.lastTick = time.Now()
--- a/internal/agentd/links_test.go
+++ b/internal/agentd/links_test.go
@@ -7,13 +7,14 @@
 	"github.com/matryer/is"
 
 	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/structs"
 )
 
 func startLinks(t *testing.T) (*links, <-chan coreInput) {
 	t.Helper()
 	core, seen := collect[coreInput](t)
-	l, err := newLinks(newLinksInbox(), core, newEventLog(nil), newCounters())
+	l, err := newLinks(newLinksInbox(), core, logging.Discard(), newCounters())
 	is.New(t).NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() { cancel(); <-l.inbox.Done() })
--- a/internal/agentd/log.go
+++ b/internal/agentd/log.go
@@ -1,56 +1,48 @@
 package agentd
 
 import (
+	"fmt"
+
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"cactuspost.example/internal/agent"
 	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/structs"
 )
 
-// eventLog writes numbered events.
-type eventLog struct{ zap *zap.Logger }
-
-func newEventLog(logger *zap.Logger) eventLog {
-	if logger == nil {
-		logger = zap.NewNop()
-	}
-	return eventLog{zap: logger}
-}
-
-// happened writes one event with the number, name and severity that the
-// catalogue gives it.
-func (l eventLog) happened(id event.ID, fields ...zap.Field) {
-	d := event.Describe(id)
-	fields = append(fields, zap.Int("event", int(id)))
-	l.zap.Log(level(d.Severity), d.Name, fields...)
-}
-
-// decided writes an event that the decisions reported.
-func (l eventLog) decided(e *agent.Happened) {
-	var fields []zap.Field
+// logDecided writes an event that the decisions reported.
+func logDecided(log *logging.Logger, e *agent.Happened) {
+	var fields []logging.Field
 	if e.Entry != "" {
 		fields = append(fields, zap.String("entry", e.Entry))
 	}
 	if e.Grant != (structs.GrantID{}) {
-		fields = append(fields, grantField(e.Grant))
+		fields = append(fields, zap.String("grant", grantText(e.Grant)))
 	}
 	if e.Detail != "" {
 		fields = append(fields, zap.String("detail", e.Detail))
 	}
-	l.happened(e.Event, fields...)
+	log.Event(e.Event, fields...)
 }
 
-func grantField(id structs.GrantID) zap.Field { return zap.String("grant", grantText(id)) }
+// networkLog takes the texts of the network library. Only its errors are of
+// use to operators.
+type networkLog struct{ log *logging.Logger }
 
-func level(s event.Severity) zapcore.Level {
-	switch s {
-	case event.Info:
-		return zapcore.InfoLevel
-	case event.Warning:
-		return zapcore.WarnLevel
-	default:
-		return zapcore.ErrorLevel
-	}
+// Debugf drops the text.
+func (networkLog) Debugf(string, ...any) {}
+
+// Infof drops the text.
+func (networkLog) Infof(string, ...any) {}
+
+// Warnf drops the text.
+func (networkLog) Warnf(string, ...any) {}
+
+// Errorf writes the text as an event.
+func (n networkLog) Errorf(format string, args ...any) {
+	n.log.Event(event.NetworkFault, zap.String("detail", fmt.Sprintf(format, args...)))
 }
+
+// Fatalf writes the text as an event.
+func (n networkLog) Fatalf(format string, args ...any) { n.Errorf(format, args...) }
--- /dev/null
+++ b/internal/agentd/path_test.go
@@ -0,0 +1,119 @@
+package agentd
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cactuspost.example/internal/structs"
+)
+
+// These tests use the decisions of package agent.
+
+func startAgent(t *testing.T, endpoint string) (*Daemon, net.Listener) {
+	t.Helper()
+	l := listen(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	d, err := Start(ctx, config(endpoint, l.Addr().String()))
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { cancel(); _ = d.Wait() })
+	return d, l
+}
+
+// welcome answers the agent's hello and returns it.
+func (e *entry) welcome(incarnation structs.Incarnation) *structs.Hello {
+	e.is.Helper()
+	hello := e.receive().Hello
+	e.is.True(hello != nil)
+	e.send(&structs.FromEntry{
+		Welcome: &structs.Welcome{Entry: structs.Peer{Name: "e1", Incarnation: incarnation}, Revision: 1},
+		Config:  &structs.Document{Revision: 1, Services: map[string]structs.Service{"s": {Pool: "p"}}},
+	})
+	return hello
+}
+
+// await returns the first message that fits; others are passed over.
+func (e *entry) await(fits func(*structs.FromAgent) bool) *structs.FromAgent {
+	e.is.Helper()
+	for {
+		m := e.receive()
+		e.is.True(m != nil)
+		if fits(m) {
+			return m
+		}
+	}
+}
+
+func offersCredit(m *structs.FromAgent) bool { return m.Offered.Total() > 0 }
+func hasResult(m *structs.FromAgent) bool    { return len(m.Results) > 0 }
+func hasRefusal(m *structs.FromAgent) bool   { return len(m.Refusals) > 0 }
+
+func TestResultsSurviveACutLink(t *testing.T) {
+	is := is.New(t)
+	endpoint := startEndpoint(t)
+	d, l := startAgent(t, endpoint.Address())
+	first := accept(t, l)
+	is.Equal(first.welcome(1).Incarnation, d.Incarnation())
+	first.await(offersCredit)
+	g := grant(1, `{"echo":"kept"}`)
+	first.send(&structs.FromEntry{Grants: []structs.Grant{g}})
+	first.await(hasResult)
+	is.NoErr(first.conn.Close()) // the result was not acknowledged
+
+	second := accept(t, l)
+	hello := second.welcome(1)
+	is.Equal(hello.Incarnation, d.Incarnation())
+	is.Equal(hello.Held, []structs.GrantID{g.ID})
+	again := second.await(hasResult)
+	is.Equal(string(again.Results[0].Payload), "kept")
+	second.send(&structs.FromEntry{Grants: []structs.Grant{g}}) // a replayed grant
+	second.send(&structs.FromEntry{Acks: []structs.GrantID{g.ID}})
+	d.Stop()
+	second.await(func(m *structs.FromAgent) bool { return m.Leaving })
+	is.NoErr(d.Wait())
+	is.Equal(endpoint.Starts(), map[string]int{"kept": 1})
+}
+
+func TestPlannedStopWaitsForTheAcknowledgement(t *testing.T) {
+	is := is.New(t)
+	endpoint := startEndpoint(t)
+	d, l := startAgent(t, endpoint.Address())
+	e := accept(t, l)
+	e.welcome(1)
+	e.await(offersCredit)
+	e.send(&structs.FromEntry{Grants: []structs.Grant{grant(1, `{"sleep_us":100000,"echo":"whole"}`)}})
+	endpoint.AwaitStarts(1)
+	d.Stop()
+	e.await(func(m *structs.FromAgent) bool { return m.Leaving })
+	late := grant(2, `{"echo":"late"}`)
+	e.send(&structs.FromEntry{Grants: []structs.Grant{late}})
+	refused := e.await(hasRefusal).Refusals[0]
+	is.Equal(refused, structs.Refusal{Grant: late.ID, Reason: structs.AgentLeaving})
+	result := e.await(hasResult).Results[0]
+	is.Equal(string(result.Payload), "whole")
+	select {
+	case <-d.ended:
+		t.Fatal("ended before the result was acknowledged")
+	default:
+	}
+	e.send(&structs.FromEntry{Acks: []structs.GrantID{result.Grant}})
+	is.NoErr(d.Wait())
+	is.Equal(endpoint.Starts(), map[string]int{"whole": 1})
+}
+
+// An idle agent that leaves must answer a grant that crossed its word.
+func TestGrantThatCrossesAPlannedStopIsAnswered(t *testing.T) {
+	is := is.New(t)
+	endpoint := startEndpoint(t)
+	d, l := startAgent(t, endpoint.Address())
+	e := accept(t, l)
+	e.welcome(1)
+	e.await(offersCredit)
+	d.Stop()
+	e.await(func(m *structs.FromAgent) bool { return m.Leaving })
+	crossed := grant(1, "x")
+	e.send(&structs.FromEntry{Grants: []structs.Grant{crossed}})
+	is.Equal(e.await(hasRefusal).Refusals[0].Grant, crossed.ID)
+}
--- a/internal/agentd/probe.go
+++ b/internal/agentd/probe.go
@@ -14,6 +14,7 @@
 	"cactuspost.example/internal/chart"
 	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/logging"
 )
 
 const (
@@ -38,7 +39,7 @@
 	state    chart.State
 	inbox    *actor.Inbox[probeInput]
 	core     *actor.Inbox[coreInput]
-	log      eventLog
+	log      *logging.Logger
 	endpoint string
 	client   fasthttp.HostClient
 	// next is when the next check is due.
@@ -62,7 +63,7 @@
 
 func init() { probeChart.MustNames(&probeEvents) }
 
-func newProbe(inbox *actor.Inbox[probeInput], core *actor.Inbox[coreInput], endpoint string, log eventLog) *probe {
+func newProbe(inbox *actor.Inbox[probeInput], core *actor.Inbox[coreInput], endpoint string, log *logging.Logger) *probe {
 	return &probe{
 		state: probeChart.Initial(), inbox: inbox, core: core, endpoint: endpoint, log: log,
 		client: fasthttp.HostClient{Addr: endpoint, MaxConns: probeConnections},
@@ -124,11 +125,11 @@
 func (p *probe) checkSoon() { p.next = time.Now() }
 
 func (p *probe) reportUp() {
-	p.log.happened(event.EndpointUp, zap.String("endpoint", p.endpoint))
+	p.log.Event(event.EndpointUp, zap.String("endpoint", p.endpoint))
 	p.core.Send(coreInput{message: &agent.EndpointChanged{Up: true}})
 }
 
 func (p *probe) reportDown() {
-	p.log.happened(event.EndpointDown, zap.String("endpoint", p.endpoint), zap.Error(p.err))
+	p.log.Event(event.EndpointDown, zap.String("endpoint", p.endpoint), zap.Error(p.err))
 	p.core.Send(coreInput{message: &agent.EndpointChanged{Up: false}})
 }
--- a/internal/agentd/runner_test.go
+++ b/internal/agentd/runner_test.go
@@ -14,7 +14,9 @@
 	t.Helper()
 	core, seen := collect[coreInput](t)
 	probe, _ := collect[probeInput](t)
-	c := Config{EndpointAddress: endpoint, Slots: slots, Connections: slots + probeConnections}
+	c := config(endpoint, "")
+	c.Slots = slots
+	c.Connections = slots + probeConnections
 	r := newRunner(newRunnerInbox(slots), core, probe, c, newCounters())
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- /dev/null
+++ b/internal/agentd/start.go
@@ -0,0 +1,25 @@
+package agentd
+
+import (
+	"context"
+
+	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/structs"
+)
+
+// Start starts an agent. When ctx ends, the agent ends at once and cuts off
+// what runs, as a crash would; Stop is the planned stop.
+// It returns a failure of kind Invalid for a faulty configuration, and one of
+// kind Unavailable when the address for operators can't be listened on.
+func Start(ctx context.Context, c Config) (*Daemon, error) {
+	incarnation := newIncarnation()
+	return start(ctx, c, incarnation, newDecisions(c, incarnation))
+}
+
+func newDecisions(c Config, incarnation structs.Incarnation) decisions {
+	return agent.New(agent.Options{
+		Endpoint: c.Endpoint, Pool: c.Pool, DataCentre: c.DataCentre, Incarnation: incarnation,
+		Slots: c.Slots, Capacity: c.Capacity, Entries: c.Entries,
+		UnackedLimit: c.UnackedLimit, Seed: uint64(incarnation),
+	})
+}
--- a/internal/agentd/traffic.go
+++ b/internal/agentd/traffic.go
@@ -9,6 +9,7 @@
 	"cactuspost.example/internal/actor"
 	"cactuspost.example/internal/agent"
 	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/wire"
 )
 
@@ -32,7 +33,7 @@
 	gnet.BuiltinEventEngine
 	core     *actor.Inbox[coreInput]
 	links    *actor.Inbox[linksInput]
-	log      eventLog
+	log      *logging.Logger
 	counters *counters
 }
 
@@ -62,7 +63,7 @@
 		more, err := t.next(conn, s)
 		if err != nil {
 			t.counters.badFrames.Inc()
-			t.log.happened(event.BadFrameFromEntry, zap.Stringer("entry", conn.RemoteAddr()), zap.Error(err))
+			t.log.Event(event.BadFrameFromEntry, zap.Stringer("entry", conn.RemoteAddr()), zap.Error(err))
 			return gnet.Close
 		}
 		if !more {
--- a/internal/event/agent.go
+++ b/internal/event/agent.go
@@ -14,11 +14,9 @@
 	LinkSilent        ID = 2024
 	LinksOverrun      ID = 2025
 	RunnerOverrun     ID = 2026
+	NetworkFault      ID = 2027
 	EndpointUp        ID = 2030
 	EndpointDown      ID = 2031
-	AgentStarted      ID = 2040
-	AgentStopping     ID = 2041
-	AgentStopped      ID = 2042
 )
 
 var agentEvents = []Description{
@@ -34,9 +32,7 @@
 	{LinkSilent, Warning, "link silent", "Nothing arrived from an entry for longer than the heartbeat timeout; the link was closed.", "Check the entry and the network, if it repeats."},
 	{LinksOverrun, Fault, "links overrun", "More messages waited for the links than there is room for; a link was closed or not dialled.", "Check the agent's share of processor time."},
 	{RunnerOverrun, Fault, "runner overrun", "More messages waited for the endpoint client than there is room for; a task ended before it was sent.", "Report it: the room covers every slot."},
+	{NetworkFault, Warning, "network fault", "The network library of the links reports an error; the field has its text.", "Look at the network and the limits of open files, if it repeats."},
 	{EndpointUp, Info, "endpoint up", "The endpoint answers health checks; its slots are offered.", "None."},
 	{EndpointDown, Warning, "endpoint down", "The endpoint does not answer health checks; its slots are not offered.", "Check the endpoint on this worker."},
-	{AgentStarted, Info, "agent started", "The agent listens for operators and dials the entries.", "None."},
-	{AgentStopping, Info, "agent stopping", "A planned stop was asked for; no more grants are taken.", "None."},
-	{AgentStopped, Info, "agent stopped", "The planned stop is done: every started task ended and its result was delivered, or its entry is gone.", "None."},
 }
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -32,9 +32,9 @@
 
 // EndpointBehaviour is how an Endpoint runs tasks.
 type EndpointBehaviour struct {
-	// Slowness multiplies run times: 2 makes a worker of half the speed. Zero
-	// means 1.
-	Slowness float64
+	// RunTimeFactor multiplies run times: 2 makes a worker of half the speed.
+	// Zero means 1.
+	RunTimeFactor float64
 	// FailAll makes every task fail at once.
 	FailAll bool
 }
@@ -164,7 +164,7 @@
 	behaviour := e.begin(name)
 	failed := payload.Fail || behaviour.FailAll
 	if !behaviour.FailAll {
-		time.Sleep(payload.runTime(behaviour.Slowness))
+		time.Sleep(payload.runTime(behaviour.RunTimeFactor))
 	}
 	e.ledger.Send(&endpointTaskEnded{failed: failed})
 	if failed {
@@ -184,11 +184,11 @@
 	return payload, []byte(payload.Echo)
 }
 
-func (p EndpointPayload) runTime(slowness float64) time.Duration {
-	if slowness == 0 {
-		slowness = 1
+func (p EndpointPayload) runTime(factor float64) time.Duration {
+	if factor == 0 {
+		factor = 1
 	}
-	return time.Duration(float64(p.SleepMicros) * slowness * float64(time.Microsecond))
+	return time.Duration(float64(p.SleepMicros) * factor * float64(time.Microsecond))
 }
 
 func endpointWriteJSON(ctx *fasthttp.RequestCtx, body any) {
