Callers' library over HTTP

A call follows charts/call.jsonc: retries within a shared budget, to the next entry, until the id's lifetime ends. A refusal after a request that may have arrived never says that nothing ran.

--- /dev/null
+++ b/cactuspost/fake_test.go
@@ -0,0 +1,137 @@
+package cactuspost
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/structs"
+)
+
+// exchange is one request that a fake entry has seen.
+type exchange struct{ method, path, body, wait, token string }
+
+// reply is what a fake entry answers.
+type reply struct {
+	status int
+	body   string
+	// refusal is sent in place of status and body if it is set.
+	refusal *failure.Failure
+	// cut closes the connection without an answer.
+	cut bool
+}
+
+// fakeEntry answers requests from a script, over HTTP on a loopback address.
+type fakeEntry struct {
+	url    string
+	mu     sync.Mutex
+	script []reply
+	seen   []exchange
+}
+
+func startFake(t testing.TB, script ...reply) *fakeEntry {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fakeEntry{url: "http://" + listener.Addr().String(), script: script}
+	server := &fasthttp.Server{Handler: f.handle}
+	done := make(chan struct{})
+	go func() { defer close(done); _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = listener.Close(); <-done })
+	return f
+}
+
+func (f *fakeEntry) handle(ctx *fasthttp.RequestCtx) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	token, _ := api.BearerToken(string(ctx.Request.Header.Peek("Authorization")))
+	f.seen = append(f.seen, exchange{method: string(ctx.Method()), path: string(ctx.Path()), body: string(ctx.PostBody()),
+		wait: string(ctx.QueryArgs().Peek(api.WaitParameter)), token: token})
+	if len(f.script) == 0 {
+		ctx.SetStatusCode(fasthttp.StatusTeapot)
+		return
+	}
+	next := f.script[0]
+	f.script = f.script[1:]
+	switch {
+	case next.cut:
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
+	case next.refusal != nil:
+		status, body, retryAfter := api.EncodeFailure(next.refusal)
+		ctx.Response.Header.Set(api.RetryAfterHeader, retryAfter)
+		ctx.SetStatusCode(status)
+		ctx.SetBody(body)
+	default:
+		ctx.SetStatusCode(next.status)
+		ctx.SetBodyString(next.body)
+	}
+}
+
+func (f *fakeEntry) requests() []exchange {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]exchange(nil), f.seen...)
+}
+
+// fakeClock jumps over each pause and notes it.
+type fakeClock struct {
+	mu     sync.Mutex
+	time   time.Time
+	pauses []time.Duration
+}
+
+func (c *fakeClock) now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.time
+}
+
+func (c *fakeClock) after(d time.Duration) <-chan time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pauses = append(c.pauses, d)
+	c.time = c.time.Add(max(0, d))
+	over := make(chan time.Time, 1)
+	over <- c.time
+	return over
+}
+
+// start is the time of the fake clock at the start of each test.
+var start = time.UnixMilli(1_800_000_000_000)
+
+func newTestClient(t testing.TB, entries ...*fakeEntry) (*Client, *fakeClock) {
+	t.Helper()
+	config := Config{Token: "token-of-rivage"}
+	for _, e := range entries {
+		config.Entries = append(config.Entries, e.url+"/")
+	}
+	c, err := New(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	fake := &fakeClock{time: start}
+	c.clock = clock{now: fake.now, after: fake.after}
+	return c, fake
+}
+
+// testID ends an hour after start.
+var testID = structs.JobID{Owner: 7, Seq: 1, Expiry: start.Add(time.Hour).UnixMilli()}
+
+func answered(t testing.TB, answer structs.Answer) reply {
+	t.Helper()
+	answer.ID = testID
+	body, err := api.EncodeAnswer(answer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply{status: fasthttp.StatusOK, body: string(body)}
+}
--- /dev/null
+++ b/cactuspost/perform.go
@@ -0,0 +1,128 @@
+package cactuspost
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/chart"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/httpclient"
+)
+
+const (
+	// longestPoll is how long one request lets the entry wait for a job's end.
+	longestPoll = 30 * time.Second
+	// exchangeTimeout bounds a request beyond that wait.
+	exchangeTimeout = 10 * time.Second
+)
+
+// perform carries out what the call decides until the call has ended.
+func (c *Client) perform(ctx context.Context, state *call, r request) error {
+	c.budget.TrySend(budgetMessage{})
+	for !state.ended() {
+		event := c.step(ctx, state, r)
+		state.fire(c.clock.now(), event)
+	}
+	if state.state == callStates.Failed {
+		return state.failure
+	}
+	return nil
+}
+
+// step does what the call's state asks for and returns the event that it led to.
+func (c *Client) step(ctx context.Context, state *call, r request) chart.Event {
+	switch state.state {
+	case callStates.Asking:
+		return c.askRetry()
+	case callStates.Pausing:
+		return c.pause(ctx, state)
+	default:
+		return c.send(ctx, state, r)
+	}
+}
+
+func (c *Client) askRetry() chart.Event {
+	if askBudget(c.budget) {
+		return callEvents.Granted
+	}
+	return callEvents.Denied
+}
+
+func (c *Client) pause(ctx context.Context, state *call) chart.Event {
+	select {
+	case <-c.clock.after(state.pauseEnd.Sub(c.clock.now())):
+	case <-ctx.Done():
+		state.stop = ctx.Err()
+		return callEvents.Stopped
+	}
+	if state.expired(c.clock.now()) {
+		return callEvents.Expired
+	}
+	return callEvents.Due
+}
+
+func (c *Client) send(ctx context.Context, state *call, r request) chart.Event {
+	now := c.clock.now()
+	if state.expired(now) {
+		return callEvents.Expired
+	}
+	state.sent(now)
+	response, err := c.http.Exchange(ctx, c.compose(state, r, now))
+	if err != nil {
+		state.reject(failure.Of(err))
+		return c.brokenOrStopped(ctx, state)
+	}
+	if response.Status >= http.StatusBadRequest {
+		state.reject(api.DecodeFailure(response.Status, response.Body, response.RetryAfter))
+		return callEvents.Refused
+	}
+	final, err := r.read(response.Body)
+	if err != nil {
+		state.reject(failure.Of(err))
+		return callEvents.Broken
+	}
+	state.accept()
+	if final {
+		return callEvents.Answered
+	}
+	return callEvents.Pending
+}
+
+func (c *Client) brokenOrStopped(ctx context.Context, state *call) chart.Event {
+	if ctx.Err() == nil {
+		return callEvents.Broken
+	}
+	state.stop = ctx.Err()
+	return callEvents.Stopped
+}
+
+func (c *Client) compose(state *call, r request, now time.Time) httpclient.Request {
+	method, path, body := r.compose()
+	wait := pollWait(state, r, now)
+	url := c.entries[state.entry] + path
+	if wait > 0 {
+		url += "?" + api.WaitParameter + "=" + api.FormatWait(wait)
+	}
+	request := httpclient.Request{
+		Method:  method,
+		URL:     url,
+		Token:   c.token,
+		Accept:  api.JSONType,
+		Body:    body,
+		Timeout: wait + exchangeTimeout,
+	}
+	if body != nil {
+		request.ContentType = api.JSONType
+	}
+	return request
+}
+
+// pollWait ends no later than the call.
+func pollWait(state *call, r request, now time.Time) time.Duration {
+	if !r.waits() {
+		return 0
+	}
+	return max(0, min(longestPoll, state.deadline.Sub(now)))
+}
