Instance registry: lease and roster as charts, and their actor

The lease counts from the clock read before the write; a lost answer is resolved by reading the row. The list of instances survives an outage of the table and one lease after it, so that instances that could not renew are not dropped.

--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -1,3 +1,44 @@
 package event
 
-var platformEvents = []Description{}
+// Events of the platform's table and of the configuration.
+const (
+	TableUnavailable       ID = 3001
+	TableAvailable         ID = 3002
+	InstanceRegistered     ID = 3003
+	LeaseLapsed            ID = 3004
+	LeaseRestored          ID = 3005
+	RegistrationRemoved    ID = 3006
+	RegistrationKept       ID = 3007
+	ExpiredInstanceRemoved ID = 3008
+	BadInstanceRow         ID = 3009
+	PeersChanged           ID = 3010
+	ConfigurationAdopted   ID = 3020
+	ConfigurationBehind    ID = 3021
+	BadConfigurationRow    ID = 3022
+	ConfigurationUnread    ID = 3023
+	ConfigurationReadAgain ID = 3024
+	NoteAccepted           ID = 3030
+	NoteRefused            ID = 3031
+	NoteOutcomeUnknown     ID = 3032
+)
+
+var platformEvents = []Description{
+	{TableUnavailable, Warning, "table unavailable", "The list of instances can't be read; the last known list is kept and dispatch goes on.", "Check the platform's table service if it lasts."},
+	{TableAvailable, Info, "table available", "The list of instances can be read again.", "None."},
+	{InstanceRegistered, Info, "instance registered", "This instance's row is in the table.", "None."},
+	{LeaseLapsed, Warning, "lease lapsed", "This instance could not renew its row in time: the table was unavailable or the process was paused. Its jobs go on.", "Look for a paused or overloaded machine if the table was available."},
+	{LeaseRestored, Info, "lease restored", "A lapsed row was renewed.", "None."},
+	{RegistrationRemoved, Info, "registration removed", "This instance removed its row at its planned stop.", "None."},
+	{RegistrationKept, Warning, "registration kept", "This instance stopped without removing its row, which lapses by itself.", "None."},
+	{ExpiredInstanceRemoved, Info, "expired instance removed", "The row of an instance that ended long ago was removed.", "None."},
+	{BadInstanceRow, Fault, "bad instance row", "A row under instances/ is not valid and is left out of the list.", "Look for who else writes to the table; remove the row."},
+	{PeersChanged, Info, "peers changed", "The list of live instances changed.", "None."},
+	{ConfigurationAdopted, Info, "configuration adopted", "A higher revision of the configuration is in force at this instance.", "None."},
+	{ConfigurationBehind, Fault, "configuration behind", "The table has a lower revision than the one in force here, which stays in force.", "Find out who restored or rewrote the table."},
+	{BadConfigurationRow, Fault, "bad configuration row", "The row of the configuration is not valid; the last known revision stays in force.", "Look for who else writes to the table."},
+	{ConfigurationUnread, Warning, "configuration unread", "The configuration can't be read from the table; the last known revision stays in force.", "Check the platform's table service if it lasts."},
+	{ConfigurationReadAgain, Info, "configuration read again", "The configuration can be read from the table again.", "None."},
+	{NoteAccepted, Info, "release note accepted", "A release note was committed and will be in force everywhere within seconds.", "None."},
+	{NoteRefused, Info, "release note refused", "A release note was invalid or in conflict with a later one; nothing changed.", "The operator gets the reasons; none here."},
+	{NoteOutcomeUnknown, Warning, "release note outcome unknown", "The table's answer to a release note was lost and the table can't be read.", "Publish the same note again: it is never applied twice."},
+}
--- /dev/null
+++ b/internal/registry/lease.go
@@ -0,0 +1,172 @@
+package registry
+
+import (
+	"time"
+
+	"cactuspost.example/charts"
+	"cactuspost.example/internal/chart"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/structs"
+)
+
+// removeAttempts bounds the attempts to remove the row at a planned stop, one
+// for each Tick.
+const removeAttempts = 5
+
+var leaseMachine = chart.MustCompile(charts.Files, "lease", chart.Bindings[*Lease]{
+	Guards: map[string]func(*Lease) bool{
+		"current":       func(l *Lease) bool { return l.now.Before(l.sent.Expiry()) },
+		"found_current": func(l *Lease) bool { return l.now.Before(l.found.Record.Expiry()) },
+		"may_retry":     func(l *Lease) bool { return l.attempts < removeAttempts },
+	},
+	Actions: map[string]func(*Lease){
+		"write":             (*Lease).write,
+		"read":              (*Lease).read,
+		"remove":            (*Lease).remove,
+		"extend":            (*Lease).extend,
+		"adopt":             (*Lease).adopt,
+		"forget":            (*Lease).forget,
+		"report_registered": func(l *Lease) { l.report(event.InstanceRegistered) },
+		"report_lapsed":     func(l *Lease) { l.report(event.LeaseLapsed) },
+		"report_restored":   func(l *Lease) { l.report(event.LeaseRestored) },
+		"report_removed":    func(l *Lease) { l.report(event.RegistrationRemoved) },
+		"report_kept":       func(l *Lease) { l.report(event.RegistrationKept) },
+	},
+})
+
+var leaseEvents struct {
+	Due         chart.Event `chart:"due"`
+	Written     chart.Event `chart:"written"`
+	Refused     chart.Event `chart:"refused"`
+	Unanswered  chart.Event `chart:"unanswered"`
+	Unavailable chart.Event `chart:"unavailable"`
+	Found       chart.Event `chart:"found"`
+	Missing     chart.Event `chart:"missing"`
+	Lapse       chart.Event `chart:"lapse"`
+	Stop        chart.Event `chart:"stop"`
+}
+
+func init() { leaseMachine.MustNames(&leaseEvents) }
+
+// Lease decides when one instance writes, reads and removes its row. It is pure
+// and not safe for concurrent use. The answer to each effect is passed to Step
+// before any other message.
+type Lease struct {
+	state   chart.State
+	peer    structs.Peer
+	started time.Time
+	// version is that of the row as last known; zero means no row.
+	version uint64
+	expiry  time.Time
+	// due is when the next write is due.
+	due time.Time
+	// sent is the record of the last Write, and written the version that the
+	// table gave it.
+	sent     Record
+	written  uint64
+	found    Entry
+	attempts int
+	now      time.Time
+	effects  []Effect
+}
+
+// NewLease returns the lease of an instance that started at the given time. The
+// first Tick registers it.
+func NewLease(peer structs.Peer, started time.Time) *Lease {
+	return &Lease{state: leaseMachine.Initial(), peer: peer, started: started, due: started}
+}
+
+// Step takes one message at the time that the clock shows now.
+func (l *Lease) Step(now time.Time, m Message) {
+	l.now = now
+	if !now.Before(l.expiry) {
+		l.fire(leaseEvents.Lapse)
+	}
+	switch m := m.(type) {
+	case Tick:
+		l.tick()
+	case Written:
+		l.written = m.Version
+		l.fire(leaseEvents.Written)
+	case Refused:
+		l.fire(leaseEvents.Refused)
+	case Unanswered:
+		l.fire(leaseEvents.Unanswered)
+	case Unavailable:
+		l.fire(leaseEvents.Unavailable)
+	case Found:
+		l.found = m.Entry
+		l.fire(leaseEvents.Found)
+	case Missing:
+		l.fire(leaseEvents.Missing)
+	case Stop:
+		l.due = now
+		l.fire(leaseEvents.Stop)
+	}
+}
+
+// Effects returns what is to be carried out, in order, and forgets it.
+func (l *Lease) Effects() []Effect {
+	effects := l.effects
+	l.effects = nil
+	return effects
+}
+
+// State returns the name of the state in the chart lease.
+func (l *Lease) State() string { return leaseMachine.StateName(l.state) }
+
+// Ended reports whether the planned stop is done.
+func (l *Lease) Ended() bool { return leaseMachine.Final(l.state) }
+
+// ValidAt reports whether other instances still list this one at the given
+// time of its own clock.
+func (l *Lease) ValidAt(now time.Time) bool { return l.version != 0 && now.Before(l.expiry) }
+
+func (l *Lease) fire(e chart.Event) { leaseMachine.Fire(&l.state, e, l) }
+
+func (l *Lease) tick() {
+	if l.now.Before(l.due) {
+		return
+	}
+	l.fire(leaseEvents.Due)
+}
+
+func (l *Lease) emit(e Effect) { l.effects = append(l.effects, e) }
+
+func (l *Lease) report(id event.ID) { l.emit(Happened{Event: id, Detail: l.peer.Name}) }
+
+// write sends an expiry by the clock as it was before the write: a pause on the
+// way can only make the lease shorter than the table believes, never longer.
+func (l *Lease) write() {
+	l.sent = Record{
+		Peer:      l.peer,
+		StartedMS: l.started.UnixMilli(),
+		ExpiryMS:  l.now.Add(LeaseTime).UnixMilli(),
+	}
+	l.emit(Write{Record: l.sent, Expected: l.version})
+}
+
+func (l *Lease) read() {
+	l.attempts++
+	l.emit(Read{})
+}
+
+func (l *Lease) remove() { l.emit(Remove{Expected: l.version}) }
+
+func (l *Lease) extend() {
+	l.version = l.written
+	l.expiry = l.sent.Expiry()
+	l.due = l.expiry.Add(RenewPeriod - LeaseTime)
+}
+
+// adopt takes the row as it is in the table. The next write stays due at once:
+// the last one may not have been the one that was found.
+func (l *Lease) adopt() {
+	l.version = l.found.Version
+	l.expiry = l.found.Record.Expiry()
+}
+
+func (l *Lease) forget() {
+	l.version = 0
+	l.expiry = time.Time{}
+}
--- /dev/null
+++ b/internal/registry/lease_test.go
@@ -0,0 +1,223 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"cactuspost.example/internal/standin"
+	"cactuspost.example/internal/structs"
+	"cactuspost.example/internal/table"
+)
+
+var epoch = time.UnixMilli(1_700_000_000_000)
+
+func peer(i structs.Incarnation) structs.Peer {
+	return structs.Peer{Name: "entry-" + i.String()[15:], Incarnation: i, LinkAddress: "10.0.0.1:" + i.String()}
+}
+
+// fate is what becomes of a request to the table.
+type fate int
+
+const (
+	answered fate = iota
+	down
+	lost
+	// delayed loses the answer, and the effect comes only later.
+	delayed
+	fateCount
+)
+
+// fakeTable carries out a lease's effects on plain rows.
+type fakeTable struct {
+	rows *standin.Rows
+	late []table.Transaction
+}
+
+func newFakeTable() *fakeTable { return &fakeTable{rows: standin.NewRows()} }
+
+// serve carries out the effects of a lease, answers included, at the given time.
+func (f *fakeTable) serve(l *Lease, now time.Time, next func() fate) {
+	for effects := l.Effects(); len(effects) > 0; effects = l.Effects() {
+		for _, e := range effects {
+			f.serveOne(l, now, e, next)
+		}
+	}
+}
+
+func (f *fakeTable) serveOne(l *Lease, now time.Time, e Effect, next func() fate) {
+	key := Key(l.peer.Incarnation)
+	switch e := e.(type) {
+	case Write:
+		value, _ := encode(e.Record)
+		l.Step(now, f.commit(table.Put(key, e.Expected, value), next()))
+	case Remove:
+		l.Step(now, f.commit(table.Delete(key, e.Expected), next()))
+	case Read:
+		l.Step(now, f.read(key, next()))
+	}
+}
+
+func (f *fakeTable) commit(op table.Operation, what fate) Message {
+	tx := table.Transaction{op}
+	switch what {
+	case down:
+		return Unavailable{}
+	case delayed:
+		f.late = append(f.late, tx)
+		return Unanswered{}
+	}
+	version, err := f.rows.Commit(tx)
+	if what == lost {
+		return Unanswered{}
+	}
+	return commitAnswer(version, err)
+}
+
+func (f *fakeTable) read(key string, what fate) Message {
+	if what != answered {
+		return Unavailable{}
+	}
+	row := f.rows.Get(key)
+	if !row.Exists() {
+		return Missing{}
+	}
+	entry, err := decode(row)
+	if err != nil {
+		return Unavailable{}
+	}
+	return Found{Entry: entry}
+}
+
+// arrive lets one late transaction take effect, if it still fits.
+func (f *fakeTable) arrive() {
+	if len(f.late) == 0 {
+		return
+	}
+	_, _ = f.rows.Commit(f.late[0])
+	f.late = f.late[1:]
+}
+
+func always(what fate) func() fate { return func() fate { return what } }
+
+func TestLeaseRegistersRenewsAndLeaves(t *testing.T) {
+	is := is.New(t)
+	f := newFakeTable()
+	l := NewLease(peer(1), epoch)
+	l.Step(epoch, Tick{})
+	f.serve(l, epoch, always(answered))
+	is.Equal(l.State(), "held")
+	is.True(l.ValidAt(epoch.Add(LeaseTime - time.Millisecond)))
+	is.True(!l.ValidAt(epoch.Add(LeaseTime)))
+	l.Step(epoch.Add(RenewPeriod/2), Tick{})
+	is.Equal(len(l.Effects()), 0) // not due yet
+	now := epoch.Add(RenewPeriod)
+	l.Step(now, Tick{})
+	f.serve(l, now, always(answered))
+	is.True(l.ValidAt(epoch.Add(LeaseTime)))
+	l.Step(now, Stop{})
+	f.serve(l, now, always(answered))
+	is.True(l.Ended())
+	is.Equal(len(f.rows.List(prefix)), 0)
+}
+
+func TestLeaseCountsFromTheClockBeforeTheWrite(t *testing.T) {
+	is := is.New(t)
+	f := newFakeTable()
+	l := NewLease(peer(1), epoch)
+	l.Step(epoch, Tick{})
+	// The process is paused between the write and its answer.
+	resumed := epoch.Add(LeaseTime + time.Second)
+	f.serve(l, resumed, always(answered))
+	is.Equal(l.State(), "lapsed")
+	is.True(!l.ValidAt(resumed))
+	l.Step(resumed, Tick{})
+	f.serve(l, resumed, always(answered))
+	is.Equal(l.State(), "held")
+}
+
+func TestLeaseLapsesUnderAPauseBeforeAnythingElse(t *testing.T) {
+	is := is.New(t)
+	f := newFakeTable()
+	l := NewLease(peer(1), epoch)
+	l.Step(epoch, Tick{})
+	f.serve(l, epoch, always(answered))
+	resumed := epoch.Add(time.Hour)
+	is.True(!l.ValidAt(resumed)) // also before the first message
+	l.Step(resumed, Tick{})
+	is.Equal(l.State(), "lapsed")
+	is.True(!l.ValidAt(resumed))
+}
+
+func TestLeaseResolvesALostAnswerByReading(t *testing.T) {
+	is := is.New(t)
+	f := newFakeTable()
+	l := NewLease(peer(1), epoch)
+	fates := []fate{lost, answered}
+	l.Step(epoch, Tick{})
+	f.serve(l, epoch, func() fate {
+		next := fates[0]
+		fates = fates[1:]
+		return next
+	})
+	is.Equal(l.State(), "held")
+	is.Equal(l.version, f.rows.Get(Key(1)).Version)
+}
+
+func TestLeaseThatCannotBeRemovedIsLeftToLapse(t *testing.T) {
+	is := is.New(t)
+	f := newFakeTable()
+	l := NewLease(peer(1), epoch)
+	l.Step(epoch, Tick{})
+	f.serve(l, epoch, always(answered))
+	l.Step(epoch, Stop{})
+	for range removeAttempts + 1 {
+		is.True(!l.Ended())
+		f.serve(l, epoch, always(down))
+		l.Step(epoch, Tick{})
+	}
+	is.True(l.Ended())
+}
+
+// TestLeaseNeverOutlivesItsRow runs leases through pauses, outages, lost answers
+// and effects that come late. A lease may be valid only while the table has a
+// row that is at least as long, and a lease in good conditions is held.
+func TestLeaseNeverOutlivesItsRow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFakeTable()
+		l := NewLease(peer(1), epoch)
+		now := epoch
+		next := func() fate { return fate(rapid.IntRange(0, int(fateCount)-1).Draw(t, "fate")) }
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "pause")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "arrival") {
+				f.arrive()
+			}
+			l.Step(now, Tick{})
+			now = now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "way")) * time.Millisecond)
+			f.serve(l, now, next)
+			checkLease(t, f, l, now)
+		}
+		for range 3 {
+			now = now.Add(RenewPeriod)
+			l.Step(now, Tick{})
+			f.serve(l, now, always(answered))
+		}
+		if l.State() != "held" || l.version != f.rows.Get(Key(1)).Version {
+			t.Fatalf("in good conditions the state is %q", l.State())
+		}
+	})
+}
+
+func checkLease(t *rapid.T, f *fakeTable, l *Lease, now time.Time) {
+	if !l.ValidAt(now) {
+		return
+	}
+	row := f.rows.Get(Key(1))
+	entry, err := decode(row)
+	if err != nil || entry.Record.Expiry().Before(l.expiry) {
+		t.Fatalf("valid until %v, the table says %v (%v)", l.expiry, entry.Record.Expiry(), err)
+	}
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,225 @@
+package registry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cactuspost.example/internal/actor"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/structs"
+	"cactuspost.example/internal/table"
+)
+
+const (
+	// tickPeriod is the time between two looks at the clock.
+	tickPeriod = time.Second
+	// callTimeout bounds one call of the table.
+	callTimeout = 2 * time.Second
+	// inboxSize is enough for the one message that there is.
+	inboxSize = 4
+)
+
+// Options is what a Registry needs.
+type Options struct {
+	// Self is this instance. Its incarnation is new for each life of the process.
+	Self  structs.Peer
+	Store table.Store
+	// Peers gets each new list of live instances, this one included. It is
+	// called on the registry's goroutine and must not block for long.
+	Peers func([]structs.Peer)
+	// Report gets the events for the log, as Peers does.
+	Report func(id event.ID, detail string)
+	// Now is the clock that is read for the answer of each call.
+	Now func() time.Time
+}
+
+// Registry is the actor that keeps this instance's row and reads the others'.
+// It owns its use of the table: one call at a time, each bounded by a timeout,
+// so an outage delays nothing but the registry itself.
+type Registry struct {
+	inbox   *actor.Inbox[Stop]
+	options Options
+	lease   *Lease
+	roster  *Roster
+	listDue time.Time
+	// badRows is the number of rows that were not valid at the last listing.
+	badRows int
+}
+
+// New returns a registry that registers the instance once Run is called.
+func New(o Options) *Registry {
+	now := o.Now()
+	return &Registry{
+		inbox:   actor.NewInbox[Stop](inboxSize),
+		options: o,
+		lease:   NewLease(o.Self, now),
+		roster:  NewRoster(o.Self),
+		listDue: now,
+	}
+}
+
+// Run works until the planned stop is done or the context ends. Without a
+// planned stop the row stays and lapses.
+func (r *Registry) Run(ctx context.Context) {
+	r.Tick(r.options.Now())
+	actor.Run(ctx, r.inbox, tickPeriod, r)
+}
+
+// Stop begins the planned stop: the instance leaves the list and its row is
+// removed. Run returns when that is done, or was tried often enough.
+func (r *Registry) Stop() { r.inbox.TrySend(Stop{}) }
+
+// Done is closed when Run has returned.
+func (r *Registry) Done() <-chan struct{} { return r.inbox.Done() }
+
+// Handle implements actor.Handler.
+func (r *Registry) Handle(now time.Time, m Stop) bool {
+	r.roster.Leave()
+	r.carryOut(r.roster.Effects())
+	r.step(now, m)
+	return !r.lease.Ended()
+}
+
+// Tick implements actor.Handler.
+func (r *Registry) Tick(now time.Time) bool {
+	r.step(now, Tick{})
+	if r.lease.Ended() {
+		return false
+	}
+	if !now.Before(r.listDue) {
+		r.list(now)
+	}
+	return true
+}
+
+// Flush implements actor.Handler.
+func (r *Registry) Flush(time.Time) {}
+
+// step passes a message to the lease and carries out what follows from it.
+func (r *Registry) step(now time.Time, m Message) {
+	r.lease.Step(now, m)
+	for effects := r.lease.Effects(); len(effects) > 0; effects = r.lease.Effects() {
+		r.carryOut(effects)
+	}
+}
+
+func (r *Registry) carryOut(effects []Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Write:
+			r.write(e)
+		case Read:
+			r.read()
+		case Remove:
+			r.commit(table.Delete(Key(r.options.Self.Incarnation), e.Expected))
+		case CleanUp:
+			r.cleanUp(e.Entry)
+		case Publish:
+			r.options.Peers(e.Peers)
+		case Happened:
+			r.options.Report(e.Event, e.Detail)
+		}
+	}
+}
+
+func (r *Registry) write(w Write) {
+	value, err := encode(w.Record)
+	if err != nil {
+		r.answer(Unavailable{})
+		return
+	}
+	r.commit(table.Put(Key(w.Record.Peer.Incarnation), w.Expected, value))
+}
+
+func (r *Registry) commit(op table.Operation) {
+	version, err := r.call(table.Transaction{op})
+	r.answer(commitAnswer(version, err))
+}
+
+func (r *Registry) call(tx table.Transaction) (uint64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	return r.options.Store.Commit(ctx, tx)
+}
+
+func (r *Registry) answer(m Message) { r.lease.Step(r.options.Now(), m) }
+
+func commitAnswer(version uint64, err error) Message {
+	var conflict *table.ConflictError
+	var unknown *table.UnknownOutcomeError
+	switch {
+	case err == nil:
+		return Written{Version: version}
+	case errors.As(err, &conflict):
+		return Refused{}
+	case errors.As(err, &unknown):
+		return Unanswered{}
+	}
+	return Unavailable{}
+}
+
+func (r *Registry) read() {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	row, err := r.options.Store.Get(ctx, Key(r.options.Self.Incarnation))
+	if err != nil {
+		r.answer(Unavailable{})
+		return
+	}
+	if !row.Exists() {
+		r.answer(Missing{})
+		return
+	}
+	entry, err := decode(row)
+	if err != nil {
+		r.options.Report(event.BadInstanceRow, err.Error())
+		// The row's version is enough to overwrite it.
+		entry = Entry{Version: row.Version}
+	}
+	r.answer(Found{Entry: entry})
+}
+
+// list reads all rows and passes them to the roster.
+func (r *Registry) list(now time.Time) {
+	r.listDue = now.Add(ListPeriod)
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	rows, err := r.options.Store.List(ctx, prefix)
+	if err != nil {
+		r.roster.Unavailable(r.options.Now())
+	} else {
+		r.roster.Listed(r.options.Now(), r.decodeAll(rows))
+	}
+	r.carryOut(r.roster.Effects())
+}
+
+// decodeAll returns the valid rows, and reports the others when there are more
+// than last time.
+func (r *Registry) decodeAll(rows []table.Row) []Entry {
+	var entries []Entry
+	var bad []error
+	for _, row := range rows {
+		e, err := decode(row)
+		if err != nil {
+			bad = append(bad, err)
+			continue
+		}
+		entries = append(entries, e)
+	}
+	if len(bad) > r.badRows {
+		r.options.Report(event.BadInstanceRow, bad[0].Error())
+	}
+	r.badRows = len(bad)
+	return entries
+}
+
+// cleanUp removes one row. A conflict means that somebody else did, or that the
+// instance lives after all; a lost answer is found out by the next listing.
+func (r *Registry) cleanUp(e Entry) {
+	key := Key(e.Record.Peer.Incarnation)
+	if _, err := r.call(table.Transaction{table.Delete(key, e.Version)}); err == nil {
+		r.options.Report(event.ExpiredInstanceRemoved, e.Record.Peer.Name)
+	}
+}
--- /dev/null
+++ b/internal/registry/roster.go
@@ -0,0 +1,164 @@
+package registry
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"cactuspost.example/charts"
+	"cactuspost.example/internal/chart"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/structs"
+)
+
+var rosterMachine = chart.MustCompile(charts.Files, "roster", chart.Bindings[*Roster]{
+	Guards: map[string]func(*Roster) bool{
+		"known":   func(r *Roster) bool { return r.known },
+		"settled": func(r *Roster) bool { return !r.now.Before(r.returned.Add(LeaseTime + ClockMargin)) },
+	},
+	Actions: map[string]func(*Roster){
+		"adopt":         func(r *Roster) { r.adopt(r.live) },
+		"adopt_keeping": func(r *Roster) { r.adopt(r.liveOrListed) },
+		"report_outage": func(r *Roster) { r.report(event.TableUnavailable, "") },
+		"report_return": (*Roster).reportReturn,
+	},
+})
+
+var rosterEvents struct {
+	Listed      chart.Event `chart:"listed"`
+	Unavailable chart.Event `chart:"unavailable"`
+}
+
+func init() { rosterMachine.MustNames(&rosterEvents) }
+
+// Roster decides which instances are listed. It is pure and not safe for
+// concurrent use.
+type Roster struct {
+	state chart.State
+	self  structs.Peer
+	// leaving takes this instance off the list.
+	leaving bool
+	// known says that peers is from the table.
+	known    bool
+	peers    []structs.Peer
+	rows     []Entry
+	returned time.Time
+	now      time.Time
+	effects  []Effect
+}
+
+// NewRoster returns the roster of an instance, which lists itself from the first
+// list on.
+func NewRoster(self structs.Peer) *Roster {
+	return &Roster{state: rosterMachine.Initial(), self: self}
+}
+
+// Listed takes the rows of all instances. The effects are Publish when the list
+// changed, CleanUp for rows that expired long ago, and Happened.
+func (r *Roster) Listed(now time.Time, rows []Entry) {
+	r.now = now
+	r.rows = rows
+	rosterMachine.Fire(&r.state, rosterEvents.Listed, r)
+	r.cleanUp()
+}
+
+// Unavailable says that the rows could not be read: the last list stays.
+func (r *Roster) Unavailable(now time.Time) {
+	r.now = now
+	rosterMachine.Fire(&r.state, rosterEvents.Unavailable, r)
+}
+
+// Leave takes this instance off the list.
+func (r *Roster) Leave() {
+	r.leaving = true
+	if r.known {
+		r.publish(slices.DeleteFunc(slices.Clone(r.peers), r.isSelf))
+	}
+}
+
+// Effects returns what is to be carried out, in order, and forgets it.
+func (r *Roster) Effects() []Effect {
+	effects := r.effects
+	r.effects = nil
+	return effects
+}
+
+// State returns the name of the state in the chart roster.
+func (r *Roster) State() string { return rosterMachine.StateName(r.state) }
+
+func (r *Roster) report(id event.ID, detail string) {
+	r.effects = append(r.effects, Happened{Event: id, Detail: detail})
+}
+
+func (r *Roster) reportReturn() {
+	r.returned = r.now
+	r.report(event.TableAvailable, "")
+}
+
+func (r *Roster) isSelf(p structs.Peer) bool { return p.Incarnation == r.self.Incarnation }
+
+func (r *Roster) live(e Entry) bool { return r.now.Before(e.Record.Expiry().Add(ClockMargin)) }
+
+func (r *Roster) liveOrListed(e Entry) bool {
+	return r.live(e) || slices.ContainsFunc(r.peers, func(p structs.Peer) bool {
+		return p.Incarnation == e.Record.Peer.Incarnation
+	})
+}
+
+// adopt lists this instance and the others that pass.
+func (r *Roster) adopt(pass func(Entry) bool) {
+	var peers []structs.Peer
+	if !r.leaving {
+		peers = append(peers, r.self)
+	}
+	for _, e := range r.rows {
+		if !r.isSelf(e.Record.Peer) && pass(e) && !r.superseded(e) {
+			peers = append(peers, e.Record.Peer)
+		}
+	}
+	slices.SortFunc(peers, func(a, b structs.Peer) int {
+		return strings.Compare(a.Incarnation.String(), b.Incarnation.String())
+	})
+	r.publish(peers)
+}
+
+// superseded reports whether a later incarnation serves the same address.
+func (r *Roster) superseded(e Entry) bool {
+	return slices.ContainsFunc(r.rows, func(other Entry) bool {
+		sameAddress := other.Record.Peer.LinkAddress == e.Record.Peer.LinkAddress
+		return sameAddress && other.Record.StartedMS > e.Record.StartedMS
+	})
+}
+
+func (r *Roster) publish(peers []structs.Peer) {
+	if r.known && slices.Equal(peers, r.peers) {
+		return
+	}
+	r.known = true
+	r.peers = peers
+	r.effects = append(r.effects, Publish{Peers: slices.Clone(peers)})
+	r.report(event.PeersChanged, names(peers))
+}
+
+func names(peers []structs.Peer) string {
+	var all []string
+	for _, p := range peers {
+		all = append(all, p.Name)
+	}
+	return strings.Join(all, " ")
+}
+
+// cleanUp removes a bounded number of rows that expired long ago.
+func (r *Roster) cleanUp() {
+	removed := 0
+	for _, e := range r.rows {
+		if removed == CleanupLimit {
+			return
+		}
+		if r.isSelf(e.Record.Peer) || r.now.Before(e.Record.Expiry().Add(CleanupAfter)) {
+			continue
+		}
+		r.effects = append(r.effects, CleanUp{Entry: e})
+		removed++
+	}
+}
--- /dev/null
+++ b/internal/registry/roster_test.go
@@ -0,0 +1,100 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cactuspost.example/internal/structs"
+)
+
+func entryOf(i structs.Incarnation, expiry time.Time) Entry {
+	return Entry{Record: Record{Peer: peer(i), StartedMS: epoch.UnixMilli(), ExpiryMS: expiry.UnixMilli()}, Version: 1}
+}
+
+// published returns the incarnations of the last list in effects, or nil.
+func published(effects []Effect) []structs.Incarnation {
+	var list []structs.Incarnation
+	for _, e := range effects {
+		if p, ok := e.(Publish); ok {
+			list = []structs.Incarnation{}
+			for _, peer := range p.Peers {
+				list = append(list, peer.Incarnation)
+			}
+		}
+	}
+	return list
+}
+
+func TestRosterListsLiveInstancesAndItself(t *testing.T) {
+	is := is.New(t)
+	r := NewRoster(peer(1))
+	rows := []Entry{entryOf(2, epoch.Add(LeaseTime)), entryOf(3, epoch.Add(-ClockMargin))}
+	r.Listed(epoch, rows)
+	is.Equal(published(r.Effects()), []structs.Incarnation{1, 2})
+	r.Listed(epoch, rows)
+	is.Equal(len(r.Effects()), 0) // nothing changed
+	r.Leave()
+	is.Equal(published(r.Effects()), []structs.Incarnation{2})
+}
+
+func TestRosterKeepsItsListThroughAnOutage(t *testing.T) {
+	is := is.New(t)
+	r := NewRoster(peer(1))
+	rows := []Entry{entryOf(2, epoch.Add(LeaseTime)), entryOf(3, epoch.Add(LeaseTime))}
+	r.Listed(epoch, rows)
+	r.Effects()
+	r.Unavailable(epoch.Add(ListPeriod))
+	is.Equal(published(r.Effects()), nil)
+	// The table is back; nobody has renewed yet, and instance 3 left.
+	back := epoch.Add(time.Hour)
+	r.Listed(back, rows[:1])
+	is.Equal(published(r.Effects()), []structs.Incarnation{1, 2})
+	is.Equal(r.State(), "returning")
+	// Instance 2 had the time to renew and did not.
+	r.Listed(back.Add(LeaseTime+ClockMargin), rows[:1])
+	is.Equal(published(r.Effects()), []structs.Incarnation{1})
+	is.Equal(r.State(), "current")
+}
+
+func TestRosterWithoutAListWaitsAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	r := NewRoster(peer(1))
+	r.Unavailable(epoch)
+	lapsed := []Entry{entryOf(2, epoch.Add(-time.Minute))}
+	r.Listed(epoch, lapsed)
+	// A list of itself alone would make agents forget the other instances.
+	is.Equal(published(r.Effects()), nil)
+	r.Listed(epoch.Add(LeaseTime+ClockMargin), []Entry{entryOf(2, epoch.Add(time.Minute))})
+	is.Equal(published(r.Effects()), []structs.Incarnation{1, 2})
+}
+
+func TestRosterDropsAReplacedIncarnation(t *testing.T) {
+	is := is.New(t)
+	r := NewRoster(peer(1))
+	old := entryOf(2, epoch.Add(LeaseTime))
+	replacement := entryOf(3, epoch.Add(LeaseTime))
+	replacement.Record.Peer.LinkAddress = old.Record.Peer.LinkAddress
+	replacement.Record.StartedMS++
+	r.Listed(epoch, []Entry{old, replacement})
+	is.Equal(published(r.Effects()), []structs.Incarnation{1, 3})
+}
+
+func TestRosterCleansUpABoundedNumberOfOldRows(t *testing.T) {
+	is := is.New(t)
+	r := NewRoster(peer(1))
+	rows := []Entry{entryOf(1, epoch), entryOf(2, epoch.Add(time.Second))}
+	for i := range structs.Incarnation(CleanupLimit + 1) {
+		rows = append(rows, entryOf(10+i, epoch))
+	}
+	r.Listed(epoch.Add(CleanupAfter), rows)
+	removed := 0
+	for _, e := range r.Effects() {
+		if c, ok := e.(CleanUp); ok {
+			is.True(c.Entry.Record.Peer.Incarnation >= 10) // not itself, not a recent one
+			removed++
+		}
+	}
+	is.Equal(removed, CleanupLimit)
+}
