--- /dev/null
+++ b/internal/release/limits.go
@@ -0,0 +1,75 @@
+package release
+
+import (
+	"fmt"
+	"math"
+)
+
+const (
+	// MaxNoteBytes bounds the text of a note.
+	MaxNoteBytes = 256 << 10
+	// DefaultMaxTasks and DefaultMaxTaskBytes hold where a note is silent.
+	DefaultMaxTasks     = 100
+	DefaultMaxTaskBytes = 64 << 10
+
+	maxNameBytes    = 64
+	maxAuthorBytes  = 200
+	maxSummaryBytes = 500
+	maxServices     = 500
+	maxTeams        = 1000
+)
+
+// limits is the closed range of a number.
+type limits struct {
+	min, max float64
+	unit     string
+}
+
+// The ranges of the numbers in a note.
+var (
+	baseLimits         = limits{0, 1 << 53, ""}
+	objectiveLimits    = limits{10, 600_000, "ms"}
+	targetLimits       = limits{0.5, 0.99999, ""}
+	lifetimeLimits     = limits{1000, 3_600_000, "ms"}
+	taskLimitLimits    = limits{10, 3_600_000, "ms"}
+	maxTasksLimits     = limits{1, 100, "tasks"}
+	maxTaskBytesLimits = limits{1, 1 << 20, "bytes"}
+	shortReserveLimits = limits{0, 0.9, ""}
+	quotaLimits        = limits{0.001, 1000, ""}
+	maxWaitingLimits   = limits{0, 1_000_000, "tasks"}
+)
+
+func (l limits) contain(x float64) bool { return !math.IsNaN(x) && x >= l.min && x <= l.max }
+
+// String returns the range in words.
+func (l limits) String() string {
+	text := fmt.Sprintf("%v to %v", number(l.min), number(l.max))
+	if l.unit != "" {
+		text += " " + l.unit
+	}
+	return text
+}
+
+// number writes whole numbers without an exponent.
+func number(x float64) string {
+	if x == math.Trunc(x) {
+		return fmt.Sprintf("%.0f", x)
+	}
+	return fmt.Sprint(x)
+}
+
+const nameRule = "a name of 1 to 64 characters a-z, 0-9 and -, which begins with a letter or digit"
+
+func isName(text string) bool {
+	if text == "" || len(text) > maxNameBytes || text[0] == '-' {
+		return false
+	}
+	for _, c := range []byte(text) {
+		letter := c >= 'a' && c <= 'z'
+		digit := c >= '0' && c <= '9'
+		if !letter && !digit && c != '-' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/release/publish.go
@@ -0,0 +1,175 @@
+package release
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cactuspost.example/internal/table"
+)
+
+// Publish commits a note to the table and returns the revision that it made. A
+// note that was applied before returns the revision of that time. It fails as
+// Proposal.Result says; only *UnknownError leaves open whether the note was
+// applied, and calling Publish again with the same note finds out.
+//
+// The calls of the table are bounded by ctx and by the store's own timeout; now
+// is the clock.
+func Publish(ctx context.Context, store table.Store, note *Note, rebase bool, now func() time.Time) (Accepted, error) {
+	p := NewProposal(note, rebase)
+	p.Step(now(), Begin{})
+	for !p.Ended() {
+		for _, effect := range p.Effects() {
+			p.Step(now(), carryOut(ctx, store, effect))
+		}
+	}
+	return p.Result()
+}
+
+func carryOut(ctx context.Context, store table.Store, effect ProposalEffect) ProposalMessage {
+	switch e := effect.(type) {
+	case ReadState:
+		return readState(ctx, store, e)
+	case CommitState:
+		return commitState(ctx, store, e)
+	}
+	return Unavailable{}
+}
+
+func readState(ctx context.Context, store table.Store, e ReadState) ProposalMessage {
+	inForce, version, err := ReadInForce(ctx, store)
+	if err != nil {
+		return Unavailable{Cause: err}
+	}
+	applied, err := readApplied(ctx, store, e.ID)
+	if err != nil {
+		return Unavailable{Cause: err}
+	}
+	since, err := ReadNotes(ctx, store, e.Base, inForce.Document.Revision)
+	if err != nil {
+		return Unavailable{Cause: err}
+	}
+	return StateRead{InForce: inForce, Version: version, Applied: applied, Since: since}
+}
+
+// ReadInForce reads what is in force and the version of its row. Before the
+// first note both are zero. It fails as table.Store does, or with *RowError.
+func ReadInForce(ctx context.Context, store table.Store) (InForce, uint64, error) {
+	var inForce InForce
+	row, err := store.Get(ctx, ConfigKey)
+	if err != nil || !row.Exists() {
+		return inForce, 0, err
+	}
+	return inForce, row.Version, decodeRow(row, &inForce)
+}
+
+// ReadNotes reads the notes of the revisions after the first up to the last, at
+// most the latest 50, oldest first. It fails as ReadInForce does.
+func ReadNotes(ctx context.Context, store table.Store, after, last uint64) ([]Published, error) {
+	if last > after && last-after > maxSince {
+		after = last - maxSince
+	}
+	var notes []Published
+	for revision := after + 1; revision <= last; revision++ {
+		row, err := store.Get(ctx, NoteKey(revision))
+		if err != nil {
+			return nil, err
+		}
+		var p Published
+		if err := decodeRow(row, &p); err != nil {
+			return nil, err
+		}
+		notes = append(notes, p)
+	}
+	return notes, nil
+}
+
+func readApplied(ctx context.Context, store table.Store, id string) (*Applied, error) {
+	row, err := store.Get(ctx, IDKey(id))
+	if err != nil || !row.Exists() {
+		return nil, err
+	}
+	var applied Applied
+	if err := decodeRow(row, &applied); err != nil {
+		return nil, err
+	}
+	return &applied, nil
+}
+
+func commitState(ctx context.Context, store table.Store, e CommitState) ProposalMessage {
+	tx, err := transaction(e)
+	if err != nil {
+		return Unavailable{Cause: err}
+	}
+	_, err = store.Commit(ctx, tx)
+	return commitMessage(err)
+}
+
+// commitMessage tells what a commit's error means to a Proposal.
+func commitMessage(err error) ProposalMessage {
+	var conflict *table.ConflictError
+	var lost *table.UnknownOutcomeError
+	switch {
+	case err == nil:
+		return Committed{}
+	case errors.As(err, &conflict):
+		return Conflicted{}
+	case errors.As(err, &lost):
+		return Unanswered{Cause: err}
+	}
+	return Unavailable{Cause: err}
+}
+
+// transaction returns the three writes that publish a note together.
+func transaction(e CommitState) (table.Transaction, error) {
+	var tx table.Transaction
+	for _, row := range []struct {
+		key      string
+		expected uint64
+		content  any
+	}{
+		{ConfigKey, e.Expected, e.InForce},
+		{NoteKey(e.Published.Revision), 0, e.Published},
+		{IDKey(e.Published.Note.ID), 0, e.Applied},
+	} {
+		raw, err := json.Marshal(row.content)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		tx = append(tx, table.Put(row.key, row.expected, raw))
+	}
+	return tx, nil
+}
+
+// DryRun returns what a note would change in the document in force, without
+// writing anything. It fails as Publish does.
+func DryRun(ctx context.Context, store table.Store, note *Note, rebase bool) ([]Difference, error) {
+	p := NewProposal(note, rebase)
+	switch m := readState(ctx, store, ReadState{ID: note.ID, Base: note.Base}).(type) {
+	case StateRead:
+		return p.preview(m)
+	case Unavailable:
+		return nil, errors.WithStack(&UnappliedError{Cause: m.Cause})
+	}
+	return nil, errors.WithStack(&UnappliedError{})
+}
+
+// preview compares what was read with what the note would make of it. A note
+// that was applied before changes nothing more.
+func (p *Proposal) preview(m StateRead) ([]Difference, error) {
+	p.read = m
+	if m.Applied != nil {
+		if m.Applied.Digest == p.digest {
+			return nil, nil
+		}
+		p.refuseDuplicate()
+		return nil, p.err
+	}
+	next, err := p.apply()
+	if err != nil {
+		return nil, err
+	}
+	return Compare(&m.InForce.Document, next), nil
+}
--- /dev/null
+++ b/internal/release/render.go
@@ -0,0 +1,194 @@
+package release
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"cactuspost.example/internal/structs"
+)
+
+// InstanceRevision is the revision in force at one instance.
+type InstanceRevision struct {
+	Instance string `json:"instance"`
+	// Revision is zero when the instance knows none.
+	Revision uint64 `json:"revision"`
+}
+
+// View is what RenderNotes shows.
+type View struct {
+	InForce InForce
+	// Note is the release note that made the revision, if it could be read.
+	Note      *Note
+	Instances []InstanceRevision
+	Now       time.Time
+}
+
+// RenderNotes returns a page for somebody who has never seen the system run:
+// what is in force, since when, by which note, and where it is not yet.
+func RenderNotes(v View) string {
+	p := &page{}
+	if v.InForce.Document.Revision == 0 {
+		p.line("No configuration is in force: no release note was published yet.")
+		p.line("Until one is, entries take no work.")
+		return p.String()
+	}
+	p.head(v)
+	if v.Note != nil {
+		p.note(v.Note)
+	}
+	p.services(&v.InForce)
+	p.teams(&v.InForce)
+	p.instances(v)
+	return p.String()
+}
+
+// RenderDifferences returns a dry run's result.
+func RenderDifferences(differences []Difference) string {
+	if len(differences) == 0 {
+		return "The note changes nothing.\n"
+	}
+	p := &page{}
+	for _, d := range differences {
+		p.line("%s", d)
+	}
+	return p.String()
+}
+
+// page is text under construction.
+type page struct{ strings.Builder }
+
+func (p *page) line(format string, args ...any) { fmt.Fprintf(p, format+"\n", args...) }
+
+func (p *page) head(v View) {
+	f := &v.InForce
+	p.line("Revision %d is in force since %s (%s ago).", f.Document.Revision, timeText(f.SinceMS), durationText(v.Now.Sub(f.Since())))
+	p.line("It was made by release note %s of %s:", f.Note, f.Author)
+	p.line("  %s", f.Summary)
+}
+
+func (p *page) note(n *Note) {
+	p.line("")
+	p.line("The note")
+	p.part("added", n.Added.items())
+	p.part("changed", n.Changed.items())
+	p.part("withdrew", n.Withdrawn.items())
+}
+
+func (p *page) part(verb string, items []Item) {
+	if len(items) == 0 {
+		return
+	}
+	slices.SortFunc(items, compareItems)
+	p.line("  %-9s %s", verb, joinItems(items))
+}
+
+func (p *page) services(f *InForce) {
+	p.line("")
+	p.line("Services (%d)", len(f.Document.Services))
+	for _, name := range slices.Sorted(maps.Keys(f.Document.Services)) {
+		p.line("  %s%s", name, origin(f, ServiceItem, name))
+		for _, text := range serviceWords(f.Document.Services[name]) {
+			p.line("    %s", text)
+		}
+	}
+}
+
+func serviceWords(s structs.Service) []string {
+	words := []string{
+		fmt.Sprintf("served by the workers of pool %s", s.Pool),
+		fmt.Sprintf("tasks should start within %s, for %s of the jobs; work that would wait longer is refused",
+			millisText(s.StartObjective), percent(s.Target)),
+		fmt.Sprintf("a job ends complete or failed within %s; a task is stopped after %s",
+			millisText(s.Lifetime), millisText(s.TaskLimit)),
+		fmt.Sprintf("a job has at most %d tasks of at most %s each", s.MaxTasks, bytesText(s.MaxTaskBytes)),
+	}
+	if s.ShortReserve > 0 {
+		words = append(words, fmt.Sprintf("%s of each worker's slots are kept free of long tasks", percent(s.ShortReserve)))
+	}
+	return words
+}
+
+func (p *page) teams(f *InForce) {
+	p.line("")
+	p.line("Teams (%d)", len(f.Document.Teams))
+	for _, name := range slices.Sorted(maps.Keys(f.Document.Teams)) {
+		p.line("  %s%s", name, origin(f, TeamItem, name))
+		for _, text := range teamWords(f.Document.Teams[name]) {
+			p.line("    %s", text)
+		}
+	}
+}
+
+func teamWords(t structs.Team) []string {
+	var words []string
+	for _, service := range slices.Sorted(maps.Keys(t.Quotas)) {
+		words = append(words, fmt.Sprintf("may use %s, with weight %s when its pool is full", service, number(t.Quotas[service])))
+	}
+	if len(words) == 0 {
+		words = append(words, "may use no service")
+	}
+	if t.MaxWaiting > 0 {
+		words = append(words, fmt.Sprintf("may have at most %d tasks waiting at one entry", t.MaxWaiting))
+	}
+	return words
+}
+
+func (p *page) instances(v View) {
+	p.line("")
+	head := v.InForce.Document.Revision
+	var behind []InstanceRevision
+	for _, i := range v.Instances {
+		if i.Revision < head {
+			behind = append(behind, i)
+		}
+	}
+	if len(behind) == 0 {
+		p.line("In force at all %d instances that were asked.", len(v.Instances))
+		return
+	}
+	p.line("Not yet in force at %d of %d instances:", len(behind), len(v.Instances))
+	slices.SortFunc(behind, func(a, b InstanceRevision) int { return strings.Compare(a.Instance, b.Instance) })
+	for _, i := range behind {
+		p.line("  %s %s", i.Instance, revisionText(i.Revision))
+	}
+}
+
+func revisionText(revision uint64) string {
+	if revision == 0 {
+		return "knows no revision and takes no work"
+	}
+	return fmt.Sprintf("has revision %d", revision)
+}
+
+// origin tells which note gave an item its present form.
+func origin(f *InForce, kind ItemKind, name string) string {
+	o, ok := f.Origins[Item{Kind: kind, Name: name}.String()]
+	if !ok {
+		return ""
+	}
+	return fmt.Sprintf(" (since %s, revision %d, note %s)", timeText(o.SinceMS), o.Revision, o.Note)
+}
+
+func timeText(ms int64) string { return time.UnixMilli(ms).UTC().Format("2006-01-02 15:04:05 UTC") }
+
+func durationText(d time.Duration) string { return d.Truncate(time.Second).String() }
+
+func millisText(m structs.Millis) string {
+	if m%1000 == 0 {
+		return fmt.Sprintf("%d s", m/1000)
+	}
+	return fmt.Sprintf("%d ms", m)
+}
+
+func percent(share float64) string { return fmt.Sprintf("%.6g %%", share*100) }
+
+func bytesText(n int) string {
+	const kib = 1 << 10
+	if n%kib == 0 {
+		return fmt.Sprintf("%d KiB", n/kib)
+	}
+	return fmt.Sprintf("%d bytes", n)
+}
