--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -13,6 +13,20 @@
 	JobShed             ID = 1011
 	BadFrameFromAgent   ID = 1020
 	BadMessageFromAgent ID = 1021
+	LinkSilent          ID = 1022
+	LinkOverflow        ID = 1023
+	LinkLimitReached    ID = 1024
+	LinkServerFault     ID = 1025
+	LinkEncodeFault     ID = 1026
+	PeerUnreachable     ID = 1030
+	PeerReplaced        ID = 1031
+	PeerRejected        ID = 1032
+	PeerServerFault     ID = 1033
+	HTTPServerFault     ID = 1034
+	EntryStarted        ID = 1040
+	EntryStopping       ID = 1041
+	EntryDraining       ID = 1042
+	EntryStopped        ID = 1043
 )
 
 var entryEvents = []Description{
@@ -27,4 +41,18 @@
 	{JobShed, Warning, "job shed", "A waiting job could not start within its objective and was refused; none of its tasks ran.", "Add workers or lower the quota of the team that crowds the pool."},
 	{BadFrameFromAgent, Fault, "bad frame from agent", "Bytes on a link were not a valid frame; the link was closed.", "Check that the peer is an agent of this release."},
 	{BadMessageFromAgent, Fault, "bad message from agent", "A frame was valid but made no sense at that point; the link was closed.", "Check the agent's release."},
+	{LinkSilent, Warning, "link silent", "Nothing arrived from an agent for the heartbeat timeout; the link was closed.", "None, if the agent comes back; else check the worker and the network."},
+	{LinkOverflow, Warning, "link overflow", "An agent reads too slowly and too many bytes wait for it; the link was closed.", "Check the load of the worker and the network."},
+	{LinkLimitReached, Fault, "link limit reached", "A connection from an agent was closed at once because the entry has as many as it may.", "Raise the limit or add entries; look for agents that dial in a loop."},
+	{LinkServerFault, Fault, "link server fault", "The server for agents ended with an error.", "Restart the entry and report the error."},
+	{LinkEncodeFault, Fault, "link encode fault", "A message to an agent could not be encoded; the link was closed.", "Report it with the detail."},
+	{PeerUnreachable, Warning, "peer unreachable", "A request was to be passed on to the entry that owns its job, which could not be reached; the caller was told to ask again.", "Check that entry and the network between the entries."},
+	{PeerReplaced, Warning, "peer replaced", "The address of a job's owner answers as another incarnation; the job was reported failed with an unknown outcome.", "Look for crashes of that entry if it repeats."},
+	{PeerRejected, Warning, "peer rejected", "A request passed on by another entry was rejected: a wrong token, another incarnation, or a broken message.", "Check that all entries have the same peer token and release."},
+	{PeerServerFault, Fault, "peer server fault", "The server for other entries ended with an error.", "Restart the entry and report the error."},
+	{HTTPServerFault, Fault, "http server fault", "The server for callers ended with an error.", "Restart the entry and report the error."},
+	{EntryStarted, Info, "entry started", "The entry serves callers and agents.", "None."},
+	{EntryStopping, Info, "entry stopping", "A planned stop began: the entry is no longer ready for the balancer.", "None."},
+	{EntryDraining, Info, "entry draining", "New submissions are refused; open jobs finish.", "None."},
+	{EntryStopped, Info, "entry stopped", "The planned stop is done.", "None."},
 }
