--- a/internal/entryd/link.go
+++ b/internal/entryd/link.go
@@ -55,7 +55,10 @@
 	beats      *time.Timer
 }
 
-var connectionChart = chart.MustCompile(charts.Files, "connection", chart.Bindings[*link]{
+// connectionChart is compiled in init: its actions fire events at it.
+var connectionChart *chart.Machine[*link]
+
+var connectionBindings = chart.Bindings[*link]{
 	Guards: map[string]func(*link) bool{
 		"silent":      func(l *link) bool { return l.quietBeats >= silentBeats-1 },
 		"sent_lately": func(l *link) bool { return l.sentLately },
@@ -74,7 +77,7 @@
 		"report_silence":  func(l *link) { l.report(event.LinkSilent) },
 		"report_overflow": func(l *link) { l.report(event.LinkOverflow) },
 	},
-})
+}
 
 var connectionEvents struct {
 	Hello     chart.Event `chart:"hello"`
@@ -94,6 +97,7 @@
 }
 
 func init() {
+	connectionChart = chart.MustCompile(charts.Files, "connection", connectionBindings)
 	connectionChart.MustNames(&connectionEvents)
 	connectionChart.MustNames(&connectionStates)
 }
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -48,7 +48,7 @@
 	{LinkEncodeFault, Fault, "link encode fault", "A message to an agent could not be encoded; the link was closed.", "Report it with the detail."},
 	{PeerUnreachable, Warning, "peer unreachable", "A request was to be passed on to the entry that owns its job, which could not be reached; the caller was told to ask again.", "Check that entry and the network between the entries."},
 	{PeerReplaced, Warning, "peer replaced", "The address of a job's owner answers as another incarnation; the job was reported failed with an unknown outcome.", "Look for crashes of that entry if it repeats."},
-	{PeerRejected, Warning, "peer rejected", "A request passed on by another entry was rejected: a wrong token, another incarnation, or a broken message.", "Check that all entries have the same peer token and release."},
+	{PeerRejected, Warning, "peer rejected", "A request passed on by another entry was rejected: it was meant for another incarnation, or its message is broken.", "None, if it follows the replacement of an entry; else check that all entries have the same release."},
 	{PeerServerFault, Fault, "peer server fault", "The server for other entries ended with an error.", "Restart the entry and report the error."},
 	{HTTPServerFault, Fault, "http server fault", "The server for callers ended with an error.", "Restart the entry and report the error."},
 	{EntryStarted, Info, "entry started", "The entry serves callers and agents.", "None."},
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,46 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/peer/peerpb"
+	"cactuspost.example/internal/peer/peerpb/peerpbconnect"
+	"cactuspost.example/internal/structs"
+)
+
+// Answerer carries out a request for a job that this incarnation owns. It
+// returns an answer or a refusal, and neither passes the request on.
+type Answerer interface {
+	AnswerPeer(ctx context.Context, r *Request) (*structs.Answer, *failure.Failure)
+}
+
+// NewHandler returns the HTTP handler of an entry for other entries. Requests
+// for jobs of another incarnation get a reply without an outcome.
+func NewHandler(self structs.Incarnation, answerer Answerer) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peerpbconnect.NewJobsHandler(&service{self: self, answerer: answerer},
+		connect.WithReadMaxBytes(MaxMessageBytes), connect.WithSendMaxBytes(MaxMessageBytes)))
+	return mux
+}
+
+type service struct {
+	self     structs.Incarnation
+	answerer Answerer
+}
+
+// Ask implements the generated service interface.
+func (s *service) Ask(ctx context.Context, r *connect.Request[peerpb.AskRequest]) (*connect.Response[peerpb.AskResponse], error) {
+	request, err := requestFromPB(r.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	response := &Response{Incarnation: s.self}
+	if request.Job.Owner == s.self {
+		response.Answer, response.Refusal = s.answerer.AnswerPeer(ctx, request)
+	}
+	return connect.NewResponse(responseToPB(response)), nil
+}
