Entry daemon: one path from an HTTP submission to an agent's link and back

The core actor owns the dispatcher and every waiting caller and waits for nothing; gnet's loops own the links, by the chart connection; the planned stop follows the chart shutdown. Requests for another incarnation's jobs go to their owner over connect, by the pure decision of internal/ownership.

--- /dev/null
+++ b/cmd/cactuspost-entry/main.go
@@ -0,0 +1,110 @@
+// Command cactuspost-entry runs one entry: callers submit jobs to it, and it
+// hands their tasks to the agents beside the endpoints.
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+
+	"cactuspost.example/internal/entryd"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/logging"
+	"cactuspost.example/internal/settings"
+)
+
+func main() {
+	if err := command().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "cactuspost-entry",
+		Usage: "run an entry of the dispatcher",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return run(ctx, c.String("settings"), c.Bool("check"))
+		},
+	}
+}
+
+func run(ctx context.Context, file string, check bool) error {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return failure.Wrap(err, failure.Invalid, failure.NotRun, "read the settings")
+	}
+	loaded, err := settings.LoadEntry(raw)
+	if err != nil {
+		logging.New(os.Stderr, event.Info).Event(event.SettingsRefused, zap.Error(err))
+		return err
+	}
+	if check {
+		fmt.Println("the settings are valid")
+		return nil
+	}
+	config, err := configOf(loaded)
+	if err != nil {
+		return err
+	}
+	return serve(ctx, config)
+}
+
+// serve runs the entry until it is told to stop and its planned stop is done.
+func serve(ctx context.Context, config entryd.Config) error {
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	daemon, err := entryd.Start(ctx, config)
+	if err != nil {
+		config.Log.Event(event.ListenFailed, zap.Error(err))
+		return err
+	}
+	stopped := false
+	for {
+		select {
+		case <-daemon.Done():
+			return nil
+		case <-stops:
+			if stopped {
+				config.Log.Event(event.SecondStopIgnored)
+			}
+			stopped = true
+			daemon.Stop()
+		}
+	}
+}
+
+func configOf(s *settings.Entry) (entryd.Config, error) {
+	certificate, err := loadTLS(s.TLS)
+	if err != nil {
+		return entryd.Config{}, err
+	}
+	config := entryd.FromSettings(s)
+	config.TLS = certificate
+	config.Settle = entryd.DefaultSettle
+	config.Log = logging.New(os.Stderr, s.LogLevel).With(zap.String("daemon", s.Name))
+	return config, nil
+}
+
+func loadTLS(files *settings.TLS) (*tls.Config, error) {
+	if files == nil {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(files.CertFile, files.KeyFile)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Invalid, failure.NotRun, "load the certificate")
+	}
+	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}, nil
+}
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"cactuspost.example/internal/dispatch"
+	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/structs"
 )
 
@@ -79,7 +80,7 @@
 // queues of the event loops.
 type coreActor struct {
 	core    Core
-	log     *zap.Logger
+	log     *logging.Logger
 	callers map[dispatch.ReplyID]chan<- dispatch.Effect
 	links   map[dispatch.LinkID]*link
 	state   readiness
@@ -90,7 +91,7 @@
 
 // newCoreActor returns an actor that reports the end of the planned stop on
 // drained, which has room for one message.
-func newCoreActor(core Core, log *zap.Logger, drained chan<- struct{}) *coreActor {
+func newCoreActor(core Core, log *logging.Logger, drained chan<- struct{}) *coreActor {
 	return &coreActor{
 		core:    core,
 		log:     log,
@@ -204,7 +205,7 @@
 	if e.Detail != "" {
 		fields = append(fields, zap.String("detail", e.Detail))
 	}
-	logEvent(a.log, e.Event, fields...)
+	a.log.Event(e.Event, fields...)
 }
 
 func (a *coreActor) reportDrained() {
@@ -213,4 +214,3 @@
 	default:
 	}
 }
-
--- /dev/null
+++ b/internal/entryd/credentials.go
@@ -0,0 +1,56 @@
+package entryd
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/settings"
+)
+
+// principal is who sent a request: a caller of a team, or an operator.
+type principal struct {
+	team     string
+	operator string
+}
+
+// credentials maps tokens to principals. Digests are compared, all of them and
+// in constant time, so that the time of a refusal tells nothing about a token.
+type credentials struct{ holders []holder }
+
+type holder struct {
+	digest [sha256.Size]byte
+	who    principal
+}
+
+func newCredentials(callers []settings.Caller, operators []settings.Operator) *credentials {
+	c := &credentials{}
+	for _, caller := range callers {
+		c.add(caller.Token, principal{team: caller.Team})
+	}
+	for _, operator := range operators {
+		c.add(operator.Token, principal{operator: operator.Name})
+	}
+	return c
+}
+
+func (c *credentials) add(token settings.Secret, who principal) {
+	c.holders = append(c.holders, holder{digest: sha256.Sum256([]byte(token.Reveal())), who: who})
+}
+
+// find returns the holder of a token, or a failure of kind Unauthorized.
+func (c *credentials) find(token string) (principal, *failure.Failure) {
+	digest := sha256.Sum256([]byte(token))
+	var who principal
+	found := 0
+	for i := range c.holders {
+		if subtle.ConstantTimeCompare(digest[:], c.holders[i].digest[:]) == 1 {
+			who = c.holders[i].who
+			found++
+		}
+	}
+	if found == 0 {
+		return principal{}, failure.New(failure.Unauthorized, failure.NotRun, "the token is not valid")
+	}
+	return who, nil
+}
--- /dev/null
+++ b/internal/entryd/front.go
@@ -0,0 +1,205 @@
+package entryd
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/logging"
+	"cactuspost.example/internal/settings"
+)
+
+// Bounds of the HTTP server beyond the settings.
+const (
+	// maxHeaderBytes bounds the request line and the headers.
+	maxHeaderBytes = 16 << 10
+	// httpIdleTimeout closes connections that are not used.
+	httpIdleTimeout = 60 * time.Second
+	// httpWriteTimeout bounds the sending of an answer.
+	httpWriteTimeout = 30 * time.Second
+	// spareConnections are accepted beyond the limit, to be told that they are
+	// too many.
+	spareConnections = 64
+)
+
+// Hook serves an operators' path that other parts of the daemon fill in. It
+// returns the body of a 200 answer in JSON.
+type Hook func(method string, query map[string]string, body []byte) ([]byte, *failure.Failure)
+
+// frontOptions configures the HTTP server.
+type frontOptions struct {
+	limits      settings.Limits
+	credentials *credentials
+	tls         *tls.Config
+	pprof       bool
+	notes       Hook
+	report      Hook
+}
+
+// front serves callers and operators over HTTP. Its handlers hold no state:
+// what they need they ask of the actors.
+type front struct {
+	options  frontOptions
+	jobs     *jobs
+	calls    *calls
+	log      *logging.Logger
+	routes   []route
+	metrics  *metrics.Set
+	server   *fasthttp.Server
+	listener net.Listener
+	// leaving is closed when the planned stop begins. Connections are closed
+	// after their next answer from then on.
+	leaving chan struct{}
+}
+
+func newFront(options frontOptions, listener net.Listener, jobs *jobs, calls *calls, log *logging.Logger) *front {
+	f := &front{
+		options:  options,
+		jobs:     jobs,
+		calls:    calls,
+		log:      log,
+		metrics:  metrics.NewSet(),
+		listener: listener,
+		leaving:  make(chan struct{}),
+	}
+	if options.tls != nil {
+		f.listener = tls.NewListener(listener, options.tls)
+	}
+	f.routes = f.table()
+	f.server = &fasthttp.Server{
+		Handler:                      f.handle,
+		ErrorHandler:                 f.refuseUnread,
+		Concurrency:                  options.limits.MaxConnections + spareConnections,
+		ReadBufferSize:               maxHeaderBytes,
+		ReadTimeout:                  options.limits.HeaderTimeout,
+		WriteTimeout:                 httpWriteTimeout,
+		IdleTimeout:                  httpIdleTimeout,
+		MaxRequestBodySize:           options.limits.MaxBody,
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		CloseOnShutdown:              true,
+		Logger:                       silentLogger{},
+	}
+	return f
+}
+
+// serve accepts connections until the server is shut down.
+func (f *front) serve() {
+	err := f.server.Serve(f.listener)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		f.log.Event(event.ActorFailed, zap.String("part", "http"), zap.Error(err))
+	}
+}
+
+// leave asks clients to open no more requests on their connections.
+func (f *front) leave() { close(f.leaving) }
+
+// shutdown stops accepting and returns when every request in progress was
+// answered, or the context ends.
+func (f *front) shutdown(ctx context.Context) error {
+	err := f.server.ShutdownWithContext(ctx)
+	// A server that had not begun to accept would begin now.
+	_ = f.listener.Close()
+	return err
+}
+
+// handle answers one request.
+func (f *front) handle(ctx *fasthttp.RequestCtx) {
+	began := time.Now()
+	name := f.dispatch(ctx)
+	f.closeIfLeaving(ctx)
+	f.count(name, ctx.Response.StatusCode(), time.Since(began))
+}
+
+func (f *front) dispatch(ctx *fasthttp.RequestCtx) string {
+	if int(f.server.GetOpenConnectionsCount()) > f.options.limits.MaxConnections {
+		f.log.Event(event.ConnectionsAtLimit)
+		ctx.SetConnectionClose()
+		f.refuse(ctx, failure.New(failure.TooLarge, failure.NotRun, "too many connections").WithRetry(retryWhenFull))
+		return unmatched
+	}
+	r, refusal := f.find(ctx)
+	if refusal != nil {
+		f.refuse(ctx, refusal)
+		return unmatched
+	}
+	who, refusal := f.admit(ctx, r.access)
+	if refusal != nil {
+		f.refuse(ctx, refusal)
+		return r.name
+	}
+	r.serve(ctx, who)
+	return r.name
+}
+
+// admit checks the token of a request.
+func (f *front) admit(ctx *fasthttp.RequestCtx, access access) (principal, *failure.Failure) {
+	if access == public {
+		return principal{}, nil
+	}
+	token, err := api.BearerToken(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
+	if err != nil {
+		return principal{}, failure.Of(err)
+	}
+	who, refusal := f.options.credentials.find(token)
+	if refusal != nil {
+		f.log.Event(event.TokenRefused, zap.Stringer("address", ctx.RemoteAddr()))
+		return principal{}, refusal
+	}
+	if (access == callers) != (who.team != "") {
+		return principal{}, failure.New(failure.Forbidden, failure.NotRun, "the token is not for this path")
+	}
+	return who, nil
+}
+
+// refuse answers with a failure.
+func (f *front) refuse(ctx *fasthttp.RequestCtx, refusal *failure.Failure) {
+	status, body, retryAfter := api.EncodeFailure(refusal)
+	if retryAfter != "" {
+		ctx.Response.Header.Set(api.RetryAfterHeader, retryAfter)
+	}
+	f.write(ctx, status, body)
+}
+
+func (f *front) write(ctx *fasthttp.RequestCtx, status int, body []byte) {
+	ctx.SetStatusCode(status)
+	ctx.SetContentType(api.JSONType)
+	ctx.SetBody(body)
+}
+
+// refuseUnread answers a request that could not be read: cut off, too slow, too
+// large, or not HTTP. No part of it has reached a handler.
+func (f *front) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
+	ctx.SetConnectionClose()
+	f.refuse(ctx, unreadFailure(err))
+	f.count(unmatched, ctx.Response.StatusCode(), 0)
+}
+
+func unreadFailure(err error) *failure.Failure {
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return failure.New(failure.TooLarge, failure.NotRun, "the request body is too large")
+	case errors.As(err, &small):
+		return failure.New(failure.TooLarge, failure.NotRun, "the request headers are too large")
+	default:
+		return failure.New(failure.Invalid, failure.NotRun, "the request could not be read")
+	}
+}
+
+func (f *front) closeIfLeaving(ctx *fasthttp.RequestCtx) {
+	select {
+	case <-f.leaving:
+		ctx.SetConnectionClose()
+	default:
+	}
+}
--- a/internal/entryd/link.go
+++ b/internal/entryd/link.go
@@ -14,6 +14,7 @@
 	"cactuspost.example/internal/dispatch"
 	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/structs"
 	"cactuspost.example/internal/wire"
 )
@@ -39,7 +40,7 @@
 	id    dispatch.LinkID
 	conn  gnet.Conn
 	inbox *actor.Inbox[coreMessage]
-	log   *zap.Logger
+	log   *logging.Logger
 	// queued counts the bytes handed to the event loop and not yet taken by it.
 	queued atomic.Int64
 
@@ -102,7 +103,7 @@
 	connectionChart.MustNames(&connectionStates)
 }
 
-func newLink(id dispatch.LinkID, conn gnet.Conn, inbox *actor.Inbox[coreMessage], log *zap.Logger, period time.Duration) *link {
+func newLink(id dispatch.LinkID, conn gnet.Conn, inbox *actor.Inbox[coreMessage], log *logging.Logger, period time.Duration) *link {
 	l := &link{id: id, conn: conn, inbox: inbox, log: log, period: period, state: connectionChart.Initial()}
 	l.beats = time.AfterFunc(period, func() { l.run(l.beat) })
 	return l
@@ -215,7 +216,7 @@
 func (l *link) closeSocket() { _ = l.conn.Close() }
 
 func (l *link) report(id event.ID) {
-	logEvent(l.log, id,
+	l.log.Event(id,
 		zap.Uint64("link", uint64(l.id)),
 		zap.Stringer("address", l.conn.RemoteAddr()),
 		zap.Error(l.fault),
@@ -226,7 +227,7 @@
 func (l *link) send(m *structs.FromEntry) {
 	frame, err := wire.AppendFromEntry(nil, m)
 	if err != nil {
-		logEvent(l.log, event.LinkEncodeFault, zap.Uint64("link", uint64(l.id)), zap.Error(err))
+		l.log.Event(event.LinkEncodeFault, zap.Uint64("link", uint64(l.id)), zap.Error(err))
 		l.dismiss()
 		return
 	}
--- a/internal/entryd/links.go
+++ b/internal/entryd/links.go
@@ -14,6 +14,7 @@
 	"cactuspost.example/internal/dispatch"
 	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/logging"
 )
 
 // linkOptions configures the server for agents.
@@ -34,7 +35,7 @@
 	gnet.BuiltinEventEngine
 	options linkOptions
 	inbox   *actor.Inbox[coreMessage]
-	log     *zap.Logger
+	log     *logging.Logger
 	engine  gnet.Engine
 	lastID  atomic.Uint64
 	booted  chan struct{}
@@ -43,7 +44,7 @@
 
 // startLinks listens for agents and returns when connections are accepted.
 // It returns a failure of kind Internal when the address can't be had.
-func startLinks(options linkOptions, inbox *actor.Inbox[coreMessage], log *zap.Logger) (*linkServer, error) {
+func startLinks(options linkOptions, inbox *actor.Inbox[coreMessage], log *logging.Logger) (*linkServer, error) {
 	s := &linkServer{
 		options: options,
 		inbox:   inbox,
@@ -64,10 +65,10 @@
 	err := gnet.Run(s, "tcp://"+s.options.address,
 		gnet.WithNumEventLoop(s.options.loops),
 		gnet.WithLoadBalancing(gnet.LeastConnections),
-		gnet.WithLogger(gnetLogger{s.log.Sugar()}),
+		gnet.WithLogger(silentLogger{}),
 	)
 	if err != nil {
-		logEvent(s.log, event.LinkServerFault, zap.Error(err))
+		s.log.Event(event.ActorFailed, zap.String("part", "links"), zap.Error(err))
 	}
 	s.ended <- err
 }
@@ -110,7 +111,7 @@
 // OnOpen is called for each new connection.
 func (s *linkServer) OnOpen(conn gnet.Conn) ([]byte, gnet.Action) {
 	if s.engine.CountConnections() > s.options.limit {
-		logEvent(s.log, event.LinkLimitReached, zap.Stringer("address", conn.RemoteAddr()), zap.Int("limit", s.options.limit))
+		s.log.Event(event.LinkLimitReached, zap.Stringer("address", conn.RemoteAddr()), zap.Int("limit", s.options.limit))
 		return nil, gnet.Close
 	}
 	id := dispatch.LinkID(s.lastID.Add(1))
@@ -134,12 +135,13 @@
 	return gnet.None
 }
 
-// gnetLogger takes the library's own lines at debug level: what matters to an
-// operator is logged as numbered events.
-type gnetLogger struct{ log *zap.SugaredLogger }
+// silentLogger drops the library's own lines: what matters to an operator is
+// logged as numbered events.
+type silentLogger struct{}
 
-func (g gnetLogger) Debugf(format string, args ...any) { g.log.Debugf(format, args...) }
-func (g gnetLogger) Infof(format string, args ...any)  { g.log.Debugf(format, args...) }
-func (g gnetLogger) Warnf(format string, args ...any)  { g.log.Debugf(format, args...) }
-func (g gnetLogger) Errorf(format string, args ...any) { g.log.Debugf(format, args...) }
-func (g gnetLogger) Fatalf(format string, args ...any) { g.log.Debugf(format, args...) }
+func (silentLogger) Debugf(string, ...any) {}
+func (silentLogger) Infof(string, ...any)  {}
+func (silentLogger) Warnf(string, ...any)  {}
+func (silentLogger) Errorf(string, ...any) {}
+func (silentLogger) Fatalf(string, ...any) {}
+func (silentLogger) Printf(string, ...any) {}
--- /dev/null
+++ b/internal/entryd/metrics.go
@@ -0,0 +1,70 @@
+package entryd
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/valyala/fasthttp"
+
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/dispatch"
+)
+
+// count records one HTTP request.
+func (f *front) count(route string, status int, took time.Duration) {
+	requests := fmt.Sprintf(`cactuspost_http_requests_total{route=%q,code="%d"}`, route, status)
+	f.metrics.GetOrCreateCounter(requests).Inc()
+	duration := fmt.Sprintf(`cactuspost_http_request_duration_seconds{route=%q}`, route)
+	f.metrics.GetOrCreateHistogram(duration).Update(took.Seconds())
+}
+
+// writeMetrics serves GET api.MetricsPath. The dispatcher's counters are read
+// when they are asked for, so that an idle entry spends nothing on them.
+func (f *front) writeMetrics(ctx *fasthttp.RequestCtx, _ principal) {
+	ctx.SetContentType(api.TextType + "; version=0.0.4")
+	f.metrics.WritePrometheus(ctx)
+	metrics.WriteProcessMetrics(ctx)
+	metrics.WriteGaugeUint64(ctx, "cactuspost_http_connections", uint64(f.server.GetOpenConnectionsCount()))
+	metrics.WriteGaugeUint64(ctx, "cactuspost_core_inbox_messages", uint64(f.calls.inbox.Len()))
+	if view, refusal := f.calls.inspect(); refusal == nil {
+		writeView(ctx, view)
+	}
+}
+
+func writeView(w io.Writer, view *dispatch.View) {
+	metrics.WriteGaugeUint64(w, "cactuspost_config_revision", view.Revision)
+	metrics.WriteGaugeUint64(w, "cactuspost_jobs_open", uint64(view.OpenJobs))
+	metrics.WriteGaugeUint64(w, "cactuspost_tasks_waiting", uint64(view.Waiting))
+	metrics.WriteGaugeUint64(w, "cactuspost_tasks_running", uint64(view.Running))
+	metrics.WriteGaugeUint64(w, "cactuspost_endpoints", uint64(len(view.Endpoints)))
+	writeStats(w, &view.Stats)
+	writeMessages(w, &view.Stats.Messages)
+}
+
+func writeStats(w io.Writer, s *dispatch.Stats) {
+	metrics.WriteCounterUint64(w, "cactuspost_tasks_granted_total", s.TasksGranted)
+	metrics.WriteCounterUint64(w, `cactuspost_tasks_ended_total{outcome="done"}`, s.TasksDone)
+	metrics.WriteCounterUint64(w, `cactuspost_tasks_ended_total{outcome="failed"}`, s.TasksFailed)
+	metrics.WriteCounterUint64(w, "cactuspost_jobs_accepted_total", s.JobsAccepted)
+	metrics.WriteCounterUint64(w, "cactuspost_jobs_resubmitted_total", s.JobsResubmits)
+	metrics.WriteCounterUint64(w, `cactuspost_jobs_ended_total{outcome="complete"}`, s.JobsComplete)
+	metrics.WriteCounterUint64(w, `cactuspost_jobs_ended_total{outcome="failed"}`, s.JobsFailed)
+	metrics.WriteCounterUint64(w, `cactuspost_jobs_ended_total{outcome="refused"}`, s.JobsRefused)
+}
+
+func writeMessages(w io.Writer, m *dispatch.MessageCounts) {
+	metrics.WriteCounterUint64(w, "cactuspost_link_frames_total", m.Frames)
+	counts := []struct {
+		cause string
+		count uint64
+	}{
+		{"grant", m.Grants}, {"result", m.Results}, {"refusal", m.Refusals}, {"offer", m.Offers},
+		{"revoke", m.Revokes}, {"demand", m.Demands}, {"ack", m.Acks}, {"cancel", m.Cancels},
+		{"heartbeat", m.Heartbeats},
+	}
+	for _, c := range counts {
+		metrics.WriteCounterUint64(w, fmt.Sprintf("cactuspost_link_messages_total{cause=%q}", c.cause), c.count)
+	}
+}
--- a/internal/entryd/peers.go
+++ b/internal/entryd/peers.go
@@ -9,6 +9,7 @@
 	"cactuspost.example/internal/actor"
 	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/ownership"
 	"cactuspost.example/internal/peer"
 	"cactuspost.example/internal/structs"
@@ -66,7 +67,7 @@
 	ctx    context.Context
 	self   structs.Incarnation
 	asker  asker
-	log    *zap.Logger
+	log    *logging.Logger
 	inbox  *actor.Inbox[peerMessage]
 	list   []structs.Peer
 	asking int
@@ -113,14 +114,14 @@
 	a.inbox.Send(askEnded{})
 }
 
-func askOwner(ctx context.Context, asker asker, log *zap.Logger, owner structs.Peer, r *peer.Request) outcome {
+func askOwner(ctx context.Context, asker asker, log *logging.Logger, owner structs.Peer, r *peer.Request) outcome {
 	response, err := asker.Ask(ctx, owner.PeerAddress, r)
 	if err != nil {
-		logEvent(log, event.PeerUnreachable, zap.String("entry", owner.Name), zap.Error(err))
+		log.Event(event.PeerUnreachable, zap.String("entry", owner.Name), zap.Error(err))
 		return decided(r.Job, ownership.Conclude(ownership.Unreachable))
 	}
 	if response.Incarnation != r.Job.Owner {
-		logEvent(log, event.PeerReplaced, zap.String("entry", owner.Name), zap.Stringer("job", r.Job))
+		log.Event(event.PeerReplaced, zap.String("entry", owner.Name), zap.Stringer("job", r.Job))
 		return decided(r.Job, ownership.Conclude(ownership.OtherIncarnation))
 	}
 	return outcome{answer: response.Answer, refusal: response.Refusal}
