--- a/internal/entryd/config.go
+++ b/internal/entryd/config.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"time"
 
+	"cactuspost.example/internal/dispatch"
 	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/settings"
 	"cactuspost.example/internal/structs"
@@ -52,7 +53,7 @@
 	// Notes and Report serve the operators' paths of these names, if set.
 	Notes  Hook
 	Report Hook
-	// NewCore makes the dispatcher.
+	// NewCore makes the dispatcher; nil makes the product's own.
 	NewCore func(self structs.Peer, seed uint64) Core
 	Log     *logging.Logger
 	// MaxLinks bounds the connections from agents; 0 means 8192.
@@ -72,6 +73,9 @@
 	if c.Log == nil {
 		c.Log = logging.Discard()
 	}
+	if c.NewCore == nil {
+		c.NewCore = newDispatcher
+	}
 	if c.MaxLinks == 0 {
 		c.MaxLinks = defaultMaxLinks
 	}
@@ -81,6 +85,10 @@
 	return c
 }
 
+func newDispatcher(self structs.Peer, seed uint64) Core {
+	return dispatch.New(dispatch.Options{Self: self, Seed: seed})
+}
+
 // newIncarnation returns a random incarnation; rand.Read never fails.
 func newIncarnation() structs.Incarnation {
 	var raw [8]byte
