--- a/internal/entryd/daemon_test.go
+++ b/internal/entryd/daemon_test.go
@@ -1,19 +1,143 @@
 package entryd
 
 import (
+	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/structs"
 )
 
 const oneTask = `{"service":"recession","tasks":[{"kind":"profile-check","declared_ms":80,"payload":"aGk="}]}`
 
+// sent is what became of an HTTP request that ran beside the test.
+type sent struct {
+	reply *reply
+	err   error
+}
+
+func sendBeside(d *Daemon, method, path, token, body string) <-chan sent {
+	done := make(chan sent, 1)
+	go func() {
+		r, err := send(d, method, path, token, body)
+		done <- sent{r, err}
+	}()
+	return done
+}
+
+func (s sent) job(is *is.I) *api.JobAnswer {
+	is.Helper()
+	is.NoErr(s.err)
+	return s.reply.job(is)
+}
+
 func TestSubmissionGoesToAnAgentAndComesBack(t *testing.T) {
 	is := is.New(t)
-	d := startFake(t)
+	d := start(t, testConfig())
 	agent := greet(t, d)
-	go agent.run()
-	answer := mustSend(is, d, "POST", "/v1/submit?wait_ms=60000", callerToken, oneTask).job(is)
+	done := sendBeside(d, "POST", "/v1/submit?wait_ms=60000", callerToken, oneTask)
+	g := agent.grant()
+	is.Equal(string(g.Payload), "hi")
+	agent.finish(g, "receding")
+	answer := (<-done).job(is)
 	is.True(answer.Complete())
-	is.Equal(answer.Results, [][]byte{[]byte("hi")})
+	is.Equal(answer.Results, [][]byte{[]byte("receding")})
+	again := mustSend(is, d, "GET", "/v1/jobs/"+answer.ID, callerToken, "").job(is)
+	is.Equal(again.Results, answer.Results)
+}
+
+func TestPutIsIdempotent(t *testing.T) {
+	is := is.New(t)
+	d := start(t, testConfig())
+	agent := greet(t, d)
+	var created api.CreateAnswer
+	r := mustSend(is, d, "POST", "/v1/jobs", callerToken, `{"service":"recession"}`)
+	is.Equal(r.status, http.StatusCreated)
+	is.NoErr(api.DecodeLenient(r.body, &created))
+	path := "/v1/jobs/" + created.IDs[0]
+	is.Equal(mustSend(is, d, "PUT", path, callerToken, oneTask).job(is).State, "open")
+	first := sendBeside(d, "PUT", path+"?wait_ms=60000", callerToken, oneTask)
+	second := sendBeside(d, "PUT", path+"?wait_ms=60000", callerToken, oneTask)
+	g := agent.grant()
+	agent.finish(g, "once")
+	is.Equal((<-first).job(is).Results, [][]byte{[]byte("once")})
+	is.Equal((<-second).job(is).Results, [][]byte{[]byte("once")})
+	is.Equal(g.ID.Attempt, uint32(1))
+}
+
+func TestPlannedStopCutsOffNoRequest(t *testing.T) {
+	is := is.New(t)
+	watch, log := watchEvents()
+	config := testConfig()
+	config.Log = log
+	d := start(t, config)
+	agent := greet(t, d)
+	done := sendBeside(d, "POST", "/v1/submit?wait_ms=60000", callerToken, oneTask)
+	g := agent.grant()
+	d.Stop()
+	d.Stop() // changes nothing
+	for !agent.receive().Leaving {
+	}
+	r := mustSend(is, d, "GET", "/readyz", "", "")
+	is.Equal(r.status, http.StatusServiceUnavailable)
+	r = mustSend(is, d, "POST", "/v1/submit", callerToken, oneTask)
+	is.Equal(r.failure(is).Kind, failure.Draining)
+	is.Equal(r.failure(is).Run, failure.NotRun)
+	is.True(r.header.Get(api.RetryAfterHeader) != "")
+	agent.finish(g, "in time")
+	is.Equal((<-done).job(is).Results, [][]byte{[]byte("in time")})
+	agent.closed()
+	d.Wait()
+	watch.await(event.DaemonStopped)
+	_, err := send(d, "GET", "/healthz", "", "")
+	is.True(err != nil) // nobody listens any more
+}
+
+func TestOverdueStopEndsWithoutTheJob(t *testing.T) {
+	is := is.New(t)
+	watch, log := watchEvents()
+	config := testConfig()
+	config.Log = log
+	config.DrainTimeout = 1 // overdue at once
+	d := start(t, config)
+	agent := greet(t, d)
+	is.Equal(mustSend(is, d, "POST", "/v1/submit", callerToken, oneTask).job(is).State, "open")
+	agent.grant()
+	d.Stop()
+	d.Wait()
+	watch.await(event.DrainTimedOut)
+	watch.await(event.DaemonStopped)
+}
+
+func TestReadinessFollowsTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	config := testConfig()
+	document := config.Document
+	config.Document = nil
+	d := start(t, config)
+	is.Equal(mustSend(is, d, "GET", "/readyz", "", "").failure(is).Kind, failure.NoConfiguration)
+	is.Equal(mustSend(is, d, "GET", "/healthz", "", "").status, http.StatusOK)
+	d.Configure(document)
+	is.Equal(mustSend(is, d, "GET", "/readyz", "", "").status, http.StatusOK)
+}
+
+func TestAddressInUseIsATypedFailure(t *testing.T) {
+	is := is.New(t)
+	d := start(t, testConfig())
+	for _, set := range []func(*Config){
+		func(c *Config) { c.HTTPAddress = d.Self().HTTPAddress },
+		func(c *Config) { c.PeerAddress = d.Self().PeerAddress },
+		func(c *Config) { c.LinkAddress = d.Self().LinkAddress },
+	} {
+		config := testConfig()
+		set(&config)
+		_, err := Start(t.Context(), config)
+		is.True(err != nil)
+		is.Equal(failure.Of(err).Kind, failure.Internal)
+	}
+	is.True(d.Self().Incarnation != structs.Incarnation(0))
 }
--- a/internal/entryd/fake_test.go
+++ b/internal/entryd/fake_test.go
@@ -15,6 +15,7 @@
 	"cactuspost.example/internal/api"
 	"cactuspost.example/internal/dispatch"
 	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/failure"
 	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/settings"
 	"cactuspost.example/internal/structs"
@@ -28,152 +29,77 @@
 	testService   = "recession"
 )
 
-// fakeCore grants each task of a job to the link that greeted last, and ends
-// the job with the results that come back. Step may be replaced.
+// fakeCore hands each message to step, which returns its effects.
 type fakeCore struct {
-	self     structs.Peer
-	seq      uint64
-	link     dispatch.LinkID
-	waiting  map[uint64]dispatch.ReplyID
-	jobs     map[uint64]*structs.Answer
-	pending  []structs.Grant
-	stopping bool
-	effects  []dispatch.Effect
-	// step handles a message in place of the fake if it returns true.
-	step func(f *fakeCore, m dispatch.Message) bool
-	// seen gets every message but heartbeats, if set.
-	seen chan dispatch.Message
-}
-
-func newFakeCore(self structs.Peer) *fakeCore {
-	return &fakeCore{self: self, waiting: map[uint64]dispatch.ReplyID{}, jobs: map[uint64]*structs.Answer{}}
+	step    func(m dispatch.Message) []dispatch.Effect
+	effects []dispatch.Effect
 }
 
 func (f *fakeCore) Tick(time.Time)  {}
 func (f *fakeCore) Flush(time.Time) {}
 
+func (f *fakeCore) Step(_ time.Time, m dispatch.Message) {
+	f.effects = append(f.effects, f.step(m)...)
+}
+
 func (f *fakeCore) Effects() []dispatch.Effect {
 	effects := f.effects
 	f.effects = nil
 	return effects
 }
 
-func (f *fakeCore) emit(e dispatch.Effect) { f.effects = append(f.effects, e) }
+// startFake runs an entry whose dispatcher is a function.
+func startFake(t *testing.T, step func(m dispatch.Message) []dispatch.Effect) *Daemon {
+	t.Helper()
+	config := testConfig()
+	config.NewCore = func(structs.Peer, uint64) Core { return &fakeCore{step: step} }
+	return start(t, config)
+}
 
-func (f *fakeCore) Step(now time.Time, m dispatch.Message) {
-	if f.seen != nil {
-		f.seen <- m
-	}
-	if f.step != nil && f.step(f, m) {
-		return
+// refuser refuses every request with the failure that it holds.
+func refuser(f *failure.Failure) func(m dispatch.Message) []dispatch.Effect {
+	return func(m dispatch.Message) []dispatch.Effect {
+		reply := replyOf(m)
+		if reply == 0 {
+			return nil
+		}
+		return []dispatch.Effect{&dispatch.Refused{Reply: reply, Failure: f}}
 	}
+}
+
+func replyOf(m dispatch.Message) dispatch.ReplyID {
 	switch m := m.(type) {
 	case *dispatch.CreateJobs:
-		f.create(now, m)
+		return m.Reply
 	case *dispatch.SubmitJob:
-		f.submit(m)
+		return m.Reply
 	case *dispatch.AwaitJob:
-		f.await(m)
-	case *dispatch.AbandonReply:
-		f.abandon(m)
-	case *dispatch.AgentMessage:
-		f.agent(m)
-	case *dispatch.Stop:
-		f.stopping = true
-		f.drain()
+		return m.Reply
+	case *dispatch.CancelJob:
+		return m.Reply
 	case *dispatch.Inspect:
-		f.emit(&dispatch.Inspected{Reply: m.Reply, View: dispatch.View{Entry: f.self, OpenJobs: len(f.jobs)}})
-	}
-}
-
-func (f *fakeCore) create(now time.Time, m *dispatch.CreateJobs) {
-	created := &dispatch.Created{Reply: m.Reply}
-	for range m.Count {
-		f.seq++
-		created.IDs = append(created.IDs, structs.JobID{Owner: f.self.Incarnation, Seq: f.seq, Expiry: now.Add(time.Minute).UnixMilli()})
-	}
-	f.emit(created)
-}
-
-func (f *fakeCore) submit(m *dispatch.SubmitJob) {
-	id := m.Submission.ID
-	if _, known := f.jobs[id.Seq]; !known {
-		f.jobs[id.Seq] = &structs.Answer{ID: id, State: structs.JobOpen, Running: len(m.Submission.Tasks)}
-		for i, t := range m.Submission.Tasks {
-			grant := structs.GrantID{Owner: f.self.Incarnation, Job: id.Seq, Task: uint32(i), Attempt: 1}
-			f.pending = append(f.pending, structs.Grant{ID: grant, Service: m.Submission.Service, Kind: t.Kind, Payload: t.Payload})
-		}
-		f.grant()
-	}
-	f.await(&dispatch.AwaitJob{Reply: m.Reply, ID: id, Wait: m.Wait})
-}
-
-func (f *fakeCore) grant() {
-	if f.link != 0 && len(f.pending) > 0 {
-		f.emit(&dispatch.Send{Link: f.link, Message: &structs.FromEntry{Grants: f.pending}})
-		f.pending = nil
-	}
-}
-
-func (f *fakeCore) await(m *dispatch.AwaitJob) {
-	answer, ok := f.jobs[m.ID.Seq]
-	if !ok {
-		answer = &structs.Answer{ID: m.ID, State: structs.JobCreated}
-	}
-	if m.Wait && answer.State == structs.JobOpen {
-		f.waiting[m.ID.Seq] = m.Reply
-		return
-	}
-	f.emit(&dispatch.Answered{Reply: m.Reply, Answer: *answer})
-}
-
-func (f *fakeCore) abandon(m *dispatch.AbandonReply) {
-	for seq, reply := range f.waiting {
-		if reply == m.Reply {
-			delete(f.waiting, seq)
-			f.emit(&dispatch.Answered{Reply: reply, Answer: *f.jobs[seq]})
-		}
-	}
-}
-
-func (f *fakeCore) agent(m *dispatch.AgentMessage) {
-	if m.Message.Hello != nil {
-		f.link = m.Link
-		f.emit(&dispatch.Send{Link: m.Link, Message: &structs.FromEntry{Welcome: &structs.Welcome{Entry: f.self}}})
-		f.grant()
-	}
-	for _, r := range m.Message.Results {
-		answer := f.jobs[r.Grant.Job]
-		answer.State = structs.JobComplete
-		answer.Results = append(answer.Results, r.Payload)
-		if reply, ok := f.waiting[r.Grant.Job]; ok {
-			delete(f.waiting, r.Grant.Job)
-			f.emit(&dispatch.Answered{Reply: reply, Answer: *answer})
-		}
-	}
-	f.drain()
-}
-
-func (f *fakeCore) drain() {
-	for _, answer := range f.jobs {
-		if answer.State == structs.JobOpen {
-			return
-		}
-	}
-	if f.stopping {
-		f.emit(&dispatch.Drained{})
+		return m.Reply
 	}
+	return 0
 }
 
 // testConfig returns a configuration on free loopback ports.
-func testConfig(core func(self structs.Peer, seed uint64) Core) Config {
+func testConfig() Config {
 	return Config{
 		HTTPAddress: "127.0.0.1:0", LinkAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
-		Document:  &structs.Document{Revision: 1},
+		Document: &structs.Document{
+			Revision: 1,
+			Services: map[string]structs.Service{testService: {
+				Pool: "coast", StartObjective: 60_000, Lifetime: 60_000, TaskLimit: 60_000, MaxTasks: 10, MaxTaskBytes: 100,
+			}},
+			Teams: map[string]structs.Team{
+				"rivage": {Quotas: map[string]float64{testService: 1}},
+				"other":  {Quotas: map[string]float64{testService: 1}},
+			},
+		},
 		Limits:    settings.Limits{MaxBody: 1 << 20, MaxConnections: 100, HeaderTimeout: time.Minute},
 		Callers:   []settings.Caller{{Team: "rivage", Token: settings.NewSecret(callerToken)}, {Team: "other", Token: settings.NewSecret(otherToken)}},
 		Operators: []settings.Operator{{Name: "op", Token: settings.NewSecret(operatorToken)}},
-		NewCore:   core,
 		Heartbeat: time.Hour,
 	}
 }
@@ -192,11 +118,6 @@
 	return d
 }
 
-func startFake(t *testing.T) *Daemon {
-	t.Helper()
-	return start(t, testConfig(func(self structs.Peer, _ uint64) Core { return newFakeCore(self) }))
-}
-
 // reply is an HTTP answer that was read to its end.
 type reply struct {
 	status int
@@ -262,11 +183,19 @@
 	return a
 }
 
+func hello() *structs.FromAgent {
+	return &structs.FromAgent{Hello: &structs.Hello{
+		Endpoint: "w1", Incarnation: 5, Pool: "coast", Slots: 8, Capacity: structs.Needs{Cores: 16, MemoryMB: 1024},
+	}}
+}
+
+// greet opens a link and offers eight slots.
 func greet(t *testing.T, d *Daemon) *rawAgent {
 	t.Helper()
 	a := dial(t, d)
-	a.send(&structs.FromAgent{Hello: &structs.Hello{Endpoint: "w1", Incarnation: 5, Slots: 8}})
+	a.send(hello())
 	a.is.True(a.receive().Welcome != nil)
+	a.send(&structs.FromAgent{Offered: structs.Credits{Any: 8}, Revision: 1})
 	return a
 }
 
@@ -303,15 +232,22 @@
 	}
 }
 
-// run echoes the payload of every grant of the next message.
-func (a *rawAgent) run() {
+// grant waits for a task.
+func (a *rawAgent) grant() structs.Grant {
 	a.is.Helper()
-	m := a.receive()
-	for _, g := range m.Grants {
-		a.send(&structs.FromAgent{Results: []structs.Result{{Grant: g.ID, Payload: g.Payload}}})
+	for {
+		if m := a.receive(); len(m.Grants) > 0 {
+			return m.Grants[0]
+		}
 	}
 }
 
+// finish reports a task's result.
+func (a *rawAgent) finish(g structs.Grant, result string) {
+	a.is.Helper()
+	a.send(&structs.FromAgent{Results: []structs.Result{{Grant: g.ID, Payload: []byte(result)}}})
+}
+
 // eventWatch collects the numbers of logged events.
 type eventWatch struct{ ids chan event.ID }
 
