--- a/internal/entryd/front.go
+++ b/internal/entryd/front.go
@@ -68,11 +68,11 @@
 		calls:    calls,
 		log:      log,
 		metrics:  metrics.NewSet(),
-		listener: listener,
+		listener: lingerListener{listener},
 		leaving:  make(chan struct{}),
 	}
 	if options.tls != nil {
-		f.listener = tls.NewListener(listener, options.tls)
+		f.listener = tls.NewListener(f.listener, options.tls)
 	}
 	f.routes = f.table()
 	f.server = &fasthttp.Server{
@@ -179,6 +179,7 @@
 // refuseUnread answers a request that could not be read: cut off, too slow, too
 // large, or not HTTP. No part of it has reached a handler.
 func (f *front) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
+	linger(ctx.Conn())
 	ctx.SetConnectionClose()
 	f.refuse(ctx, unreadFailure(err))
 	f.count(unmatched, ctx.Response.StatusCode(), 0)
--- /dev/null
+++ b/internal/entryd/front_test.go
@@ -0,0 +1,224 @@
+package entryd
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cactuspost.example/internal/actor"
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/dispatch"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/settings"
+	"cactuspost.example/internal/structs"
+)
+
+// jobPath is the path of an id that the entry itself could have issued.
+func jobPath(d *Daemon) string {
+	id := structs.JobID{Owner: d.Self().Incarnation, Seq: 1, Expiry: time.Now().Add(time.Hour).UnixMilli()}
+	return "/v1/jobs/" + id.String()
+}
+
+func TestEveryRefusalReachesTheCaller(t *testing.T) {
+	for kind := failure.Internal; kind <= failure.Expired; kind++ {
+		t.Run(kind.String(), func(t *testing.T) {
+			is := is.New(t)
+			refusal := failure.New(kind, failure.Ran, "said why").WithRetry(1500 * time.Millisecond)
+			d := startFake(t, refuser(refusal))
+			requests := []struct{ method, path, body string }{
+				{"POST", "/v1/jobs", `{"service":"recession"}`}, {"POST", "/v1/submit", oneTask},
+				{"PUT", jobPath(d), oneTask}, {"GET", jobPath(d), ""}, {"DELETE", jobPath(d), ""},
+			}
+			for _, request := range requests {
+				r := mustSend(is, d, request.method, request.path, callerToken, request.body)
+				is.Equal(r.status, api.Status(kind))
+				is.Equal(r.header.Get(api.RetryAfterHeader), "2")
+				is.Equal(r.failure(is).Failure(), refusal)
+			}
+		})
+	}
+}
+
+func TestRequestsThatNeverReachTheDispatcher(t *testing.T) {
+	d := startFake(t, func(m dispatch.Message) []dispatch.Effect {
+		if replyOf(m) != 0 {
+			panic("a request reached the dispatcher")
+		}
+		return nil
+	})
+	huge := strings.Repeat("x", testConfig().Limits.MaxBody+1)
+	cases := map[string]struct {
+		method, path, token, body string
+		kind                      failure.Kind
+	}{
+		"no token":              {"POST", "/v1/submit", "", oneTask, failure.Unauthorized},
+		"wrong token":           {"POST", "/v1/submit", "wrong", oneTask, failure.Unauthorized},
+		"operator submits":      {"POST", "/v1/submit", operatorToken, oneTask, failure.Forbidden},
+		"caller sees endpoints": {"GET", "/v1/endpoints", callerToken, "", failure.Forbidden},
+		"no such path":          {"GET", "/v1/none", callerToken, "", failure.Invalid},
+		"no such method":        {"PATCH", "/v1/submit", callerToken, oneTask, failure.Invalid},
+		"profiles not enabled":  {"GET", "/debug/pprof/", operatorToken, "", failure.Invalid},
+		"not JSON":              {"POST", "/v1/submit", callerToken, "{", failure.Invalid},
+		"not a wait":            {"POST", "/v1/submit?wait_ms=soon", callerToken, oneTask, failure.Invalid},
+		"not an id":             {"PUT", "/v1/jobs/abc", callerToken, oneTask, failure.UnknownJob},
+		"an id and more":        {"GET", jobPath(d) + "/x", callerToken, "", failure.UnknownJob},
+		"an id never issued":    {"GET", "/v1/jobs/0000000000000000-1-18bcfe56800", callerToken, "", failure.UnknownJob},
+		"body too large":        {"POST", "/v1/submit", callerToken, huge, failure.TooLarge},
+		"headers too large":     {"GET", "/v1/jobs/" + huge[:maxHeaderBytes], callerToken, "", failure.TooLarge},
+		"no hook":               {"GET", "/v1/report", operatorToken, "", failure.Unavailable},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := mustSend(is, d, c.method, c.path, c.token, c.body)
+			is.Equal(r.status, api.Status(c.kind))
+			is.Equal(r.failure(is).Kind, c.kind)
+			is.Equal(r.failure(is).Run, failure.NotRun)
+		})
+	}
+}
+
+func TestCutOffRequestStartsNothing(t *testing.T) {
+	is := is.New(t)
+	reached := make(chan dispatch.Message, 16)
+	d := startFake(t, func(m dispatch.Message) []dispatch.Effect {
+		if replyOf(m) != 0 {
+			reached <- m
+		}
+		return refuser(failure.New(failure.Overloaded, failure.NotRun, ""))(m)
+	})
+	conn, err := net.Dial("tcp", d.Self().HTTPAddress)
+	is.NoErr(err)
+	head := "POST /v1/submit HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s"
+	_, err = fmt.Fprintf(conn, head, callerToken, len(oneTask), oneTask[:len(oneTask)-1])
+	is.NoErr(err)
+	is.NoErr(conn.(*net.TCPConn).CloseWrite())
+	raw, err := io.ReadAll(conn) // the entry has given the request up
+	is.NoErr(err)
+	is.True(!strings.Contains(string(raw), "200 OK"))
+	is.Equal(len(reached), 0)
+	mustSend(is, d, "POST", "/v1/submit", callerToken, oneTask)
+	is.Equal(len(reached), 1)
+}
+
+func TestConnectionsBeyondTheLimitAreRefused(t *testing.T) {
+	is := is.New(t)
+	config := testConfig()
+	config.Limits.MaxConnections = 1
+	d := start(t, config)
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	first, err := client.Get("http://" + d.Self().HTTPAddress + "/healthz")
+	is.NoErr(err)
+	_, err = io.Copy(io.Discard, first.Body)
+	is.NoErr(err)
+	is.NoErr(first.Body.Close()) // the connection stays open
+	r := mustSend(is, d, "GET", "/healthz", "", "")
+	is.Equal(r.failure(is).Kind, failure.TooLarge)
+}
+
+func TestWaitEndsWithThePresentState(t *testing.T) {
+	is := is.New(t)
+	d := start(t, testConfig())
+	agent := greet(t, d)
+	done := sendBeside(d, "POST", "/v1/submit?wait_ms=1", callerToken, oneTask)
+	g := agent.grant()
+	answer := (<-done).job(is)
+	is.Equal(answer.State, "open")
+	is.Equal(answer.Running, 1)
+	agent.finish(g, "later")
+	r := mustSend(is, d, "GET", "/v1/jobs/"+answer.ID+"?wait_ms=60000", callerToken, "")
+	is.Equal(r.job(is).Results, [][]byte{[]byte("later")})
+	r = mustSend(is, d, "GET", "/v1/jobs/"+answer.ID, otherToken, "")
+	is.Equal(r.failure(is).Kind, failure.Forbidden)
+}
+
+func TestCallerThatWentAwayLeavesNothing(t *testing.T) {
+	is := is.New(t)
+	waiting, abandoned := make(chan dispatch.ReplyID, 1), make(chan dispatch.ReplyID, 1)
+	d := startFake(t, func(m dispatch.Message) []dispatch.Effect {
+		switch m := m.(type) {
+		case *dispatch.AwaitJob:
+			waiting <- m.Reply
+		case *dispatch.AbandonReply:
+			abandoned <- m.Reply
+			return []dispatch.Effect{&dispatch.Answered{Reply: m.Reply}}
+		}
+		return nil
+	})
+	conn, err := net.Dial("tcp", d.Self().HTTPAddress)
+	is.NoErr(err)
+	_, err = fmt.Fprintf(conn, "GET %s?wait_ms=50 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n\r\n", jobPath(d), callerToken)
+	is.NoErr(err)
+	reply := <-waiting
+	is.NoErr(conn.Close())
+	is.Equal(<-abandoned, reply)
+	d.Stop()
+	d.parts.drained <- struct{}{}
+	d.Wait() // nothing of the request is left to wait for
+}
+
+func TestFullInboxRefusesTruthfully(t *testing.T) {
+	is := is.New(t)
+	inbox := actor.NewInbox[coreMessage](1)
+	is.True(inbox.TrySend(endCore{}))
+	j := &jobs{self: 1, calls: &calls{inbox: inbox}}
+	_, refusal := j.create("rivage", testService, 1)
+	is.Equal(refusal.Kind, failure.Overloaded)
+	is.Equal(refusal.Run, failure.NotRun)
+	is.True(refusal.RetryAfter > 0)
+	// The job may have been submitted before, and run.
+	_, refusal = j.submit(&structs.Submission{ID: structs.JobID{Owner: 1, Seq: 1}}, 0)
+	is.Equal(refusal.Kind, failure.Overloaded)
+	is.Equal(refusal.Run, failure.Unknown)
+	_, ok := j.calls.probe()
+	is.True(!ok)
+}
+
+func TestEndedCoreAnswersWithoutAPromise(t *testing.T) {
+	is := is.New(t)
+	inbox := actor.NewInbox[coreMessage](8)
+	is.True(inbox.TrySend(endCore{}))
+	core := &fakeCore{step: func(dispatch.Message) []dispatch.Effect { return nil }}
+	actor.Run(t.Context(), inbox, time.Hour, newCoreActor(core, nil, nil))
+	j := &jobs{self: 1, calls: &calls{inbox: inbox}}
+	_, refusal := j.await(structs.JobID{Owner: 1, Seq: 1}, "rivage", time.Hour)
+	is.Equal(refusal.Kind, failure.Unavailable)
+	is.Equal(refusal.Run, failure.Unknown)
+}
+
+func TestOperatorsPaths(t *testing.T) {
+	is := is.New(t)
+	watch, log := watchEvents()
+	config := testConfig()
+	config.Log = log
+	config.Pprof = true
+	config.Limits = settings.Limits{MaxBody: 1 << 10, MaxConnections: 10, HeaderTimeout: time.Minute}
+	config.Notes = func(method string, query map[string]string, body []byte) ([]byte, *failure.Failure) {
+		return []byte(method + query["revision"] + string(body)), nil
+	}
+	config.Report = func(string, map[string]string, []byte) ([]byte, *failure.Failure) {
+		return nil, failure.New(failure.Conflict, failure.NotRun, "")
+	}
+	d := start(t, config)
+	greet(t, d)
+	watch.await(event.AgentConnected)
+	is.Equal(string(mustSend(is, d, "POST", "/v1/notes?revision=7", operatorToken, "note").body), "POST7note")
+	is.Equal(mustSend(is, d, "GET", "/v1/report", operatorToken, "").failure(is).Kind, failure.Conflict)
+	is.True(strings.Contains(string(mustSend(is, d, "GET", "/v1/endpoints", operatorToken, "").body), `"endpoint":"w1"`))
+	is.Equal(mustSend(is, d, "GET", "/debug/pprof/cmdline", operatorToken, "").status, http.StatusOK)
+	text := string(mustSend(is, d, "GET", "/metrics", "", "").body)
+	for _, line := range []string{
+		`cactuspost_http_requests_total{route="post_notes",code="200"} 1`, "cactuspost_config_revision 1",
+		"cactuspost_endpoints 1", `cactuspost_link_messages_total{cause="grant"} 0`, "process_cpu_seconds_total",
+	} {
+		is.True(strings.Contains(text, line))
+	}
+}
--- /dev/null
+++ b/internal/entryd/links_test.go
@@ -0,0 +1,189 @@
+package entryd
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/panjf2000/gnet/v2"
+
+	"cactuspost.example/internal/actor"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/logging"
+	"cactuspost.example/internal/structs"
+	"cactuspost.example/internal/wire"
+)
+
+func frameOf(is *is.I, m *structs.FromAgent) []byte {
+	is.Helper()
+	frame, err := wire.AppendFromAgent(nil, m)
+	is.NoErr(err)
+	return frame
+}
+
+func TestFaultyLinkHarmsNoOther(t *testing.T) {
+	is := is.New(t)
+	watch, log := watchEvents()
+	config := testConfig()
+	config.Log = log
+	d := start(t, config)
+	sound := greet(t, d)
+	greeting := frameOf(is, hello())
+	cases := []struct {
+		name  string
+		bytes []byte
+		event event.ID
+	}{
+		{"garbage", []byte{0, 0, 0, 2, 0xff, 0xff}, event.BadFrameFromAgent},
+		{"over the frame limit", []byte{0xff, 0, 0, 0}, event.BadFrameFromAgent},
+		{"hello over its limit", []byte{0, 0x20, 0, 0}, event.BadFrameFromAgent},
+		{"HTTP", []byte("GET / HTTP/1.1\r\n\r\n"), event.BadFrameFromAgent},
+		{"no hello", frameOf(is, &structs.FromAgent{Heartbeat: true}), event.BadMessageFromAgent},
+		{"empty frame", []byte{0, 0, 0, 0}, event.BadMessageFromAgent},
+		{"second hello", append(greeting[:len(greeting):len(greeting)], greeting...), event.BadMessageFromAgent},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			faulty := dial(t, d)
+			_, err := faulty.Write(c.bytes)
+			is.NoErr(err)
+			watch.await(c.event)
+			faulty.closed()
+		})
+	}
+	// The last case took the endpoint's session over; the sound link greets anew.
+	is.NoErr(sound.Close())
+	agent := dial(t, d)
+	for _, b := range frameOf(is, hello()) { // a frame in as many parts as it has bytes
+		_, err := agent.Write([]byte{b})
+		is.NoErr(err)
+	}
+	is.True(agent.receive().Welcome != nil)
+	agent.send(&structs.FromAgent{Offered: structs.Credits{Any: 8}, Revision: 1})
+	done := sendBeside(d, "POST", "/v1/submit?wait_ms=60000", callerToken, oneTask)
+	agent.finish(agent.grant(), "sound")
+	is.Equal((<-done).job(is).Results, [][]byte{[]byte("sound")})
+}
+
+func TestLinksBeyondTheLimitAreClosed(t *testing.T) {
+	is := is.New(t)
+	watch, log := watchEvents()
+	config := testConfig()
+	config.Log = log
+	config.MaxLinks = 1
+	d := start(t, config)
+	first := greet(t, d)
+	dial(t, d).closed()
+	watch.await(event.LinkLimitReached)
+	is.NoErr(first.Close())
+	watch.await(event.AgentLost)
+	greet(t, d)
+}
+
+func TestSilentLinkIsClosed(t *testing.T) {
+	is := is.New(t)
+	watch, log := watchEvents()
+	config := testConfig()
+	config.Log = log
+	config.Heartbeat = time.Millisecond
+	d := start(t, config)
+	agent := dial(t, d)
+	agent.closed() // also before a hello
+	watch.await(event.LinkSilent)
+	agent = dial(t, d)
+	agent.send(hello())
+	agent.closed()
+	watch.await(event.LinkSilent)
+	is.Equal(len(d.parts.drained), 0)
+}
+
+// stubConn is a connection whose event loop is the caller's goroutine. It takes
+// frames and, if stuck, never sends them.
+type stubConn struct {
+	gnet.Conn
+	stuck  bool
+	sent   int
+	closed bool
+}
+
+func (c *stubConn) RemoteAddr() net.Addr      { return &net.TCPAddr{} }
+func (c *stubConn) OutboundBuffered() int     { return 0 }
+func (c *stubConn) EventLoop() gnet.EventLoop { return stubLoop{} }
+
+func (c *stubConn) Close() error {
+	c.closed = true
+	return nil
+}
+
+type stubLoop struct{ gnet.EventLoop }
+
+func (stubLoop) Execute(ctx context.Context, task gnet.Runnable) error { return task.Run(ctx) }
+
+func (c *stubConn) AsyncWrite(_ []byte, done gnet.AsyncCallback) error {
+	c.sent++
+	if c.stuck {
+		return nil
+	}
+	return done(c.Conn, nil)
+}
+
+func greetedLink(conn *stubConn, log *logging.Logger) *link {
+	l := newLink(1, conn, actor.NewInbox[coreMessage](64), log, time.Hour)
+	l.received = hello()
+	l.fire(connectionEvents.Hello)
+	return l
+}
+
+func TestHeartbeatsAreSentOnlyInSilence(t *testing.T) {
+	is := is.New(t)
+	conn := &stubConn{}
+	l := greetedLink(conn, logging.Discard())
+	for range 3 * silentBeats {
+		sent := conn.sent
+		l.beat()
+		is.Equal(conn.sent, sent+1) // nothing else was sent
+		l.send(&structs.FromEntry{Demand: &structs.Demand{Short: 1}})
+		l.beat()
+		is.Equal(conn.sent, sent+2) // the demand shows that the entry lives
+		l.quietBeats = 0            // a frame arrived
+	}
+	for range silentBeats - 1 {
+		l.beat()
+		is.True(!conn.closed)
+	}
+	l.beat()
+	is.True(conn.closed)
+	l.stopBeats()
+}
+
+func TestAgentThatDoesNotReadLosesItsLink(t *testing.T) {
+	is := is.New(t)
+	watch, log := watchEvents()
+	conn := &stubConn{stuck: true}
+	l := greetedLink(conn, log)
+	payload := make([]byte, maxOutboundBytes/4)
+	message := &structs.FromEntry{Grants: []structs.Grant{{Payload: payload}}}
+	for range 3 {
+		l.send(message)
+		is.True(!conn.closed)
+	}
+	l.send(message)
+	watch.await(event.LinkOverflow)
+	is.True(conn.closed)
+	is.Equal(conn.sent, 3)
+	l.stopBeats()
+}
+
+func TestMessageThatCannotBeEncodedEndsTheLink(t *testing.T) {
+	is := is.New(t)
+	watch, log := watchEvents()
+	conn := &stubConn{}
+	l := greetedLink(conn, log)
+	l.send(&structs.FromEntry{Grants: []structs.Grant{{Payload: make([]byte, wire.MaxFrameBytes)}}})
+	watch.await(event.LinkEncodeFault)
+	is.True(conn.closed)
+	l.stopBeats()
+}
