Release notes: tests, fuzz corpus and the events of a publication

Racing operators run against rows whose answers are lost or late and against outages: revisions rise one by one, no note makes two of them, an accepted note keeps its revision, a refused one never lands, an instance never goes back.

--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"flag"
+	"os"
 	"testing"
 	"time"
 
@@ -13,6 +15,14 @@
 	"cactuspost.example/internal/table"
 )
 
+// TestMain fixes the seed of the random tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 // instance is a registry whose calls the test makes itself, on its own clock.
 type instance struct {
 	*Registry
--- a/internal/release/errors.go
+++ b/internal/release/errors.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"strings"
 
+	"github.com/pkg/errors"
+
+	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
 )
 
@@ -157,3 +160,16 @@
 	}
 	return strings.Join(all, ", ")
 }
+
+// EventOf returns the event that a call of Publish with this error is logged
+// as; nil stands for success.
+func EventOf(err error) event.ID {
+	var unknown *UnknownError
+	switch {
+	case err == nil:
+		return event.NoteAccepted
+	case errors.As(err, &unknown):
+		return event.NoteOutcomeUnknown
+	}
+	return event.NoteRefused
+}
--- /dev/null
+++ b/internal/release/publish_test.go
@@ -0,0 +1,358 @@
+package release
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/standin"
+	"cactuspost.example/internal/structs"
+	"cactuspost.example/internal/table"
+)
+
+func clock() time.Time { return epoch }
+
+// changing returns a note that changes one of the services a, b, ... or adds it.
+func noteFor(id, name string, doc *structs.Document) *Note {
+	note := &Note{ID: id, Author: "op", Summary: "s", Base: doc.Revision}
+	items := Items{Services: map[string]structs.Service{name: service("pool-" + id)}}
+	if _, ok := doc.Services[name]; ok {
+		note.Changed = items
+	} else {
+		note.Added = items
+	}
+	return note
+}
+
+func TestPublishAppliesOnceUnderALostAnswer(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := standin.NewTable()
+	defer store.Close()
+	note := readNote(t, "first.jsonc")
+	store.SetFaults(standin.Faults{LoseAnswers: 1})
+	first, err := Publish(ctx, store, note, false, clock)
+	is.NoErr(err)
+	is.Equal(first, Accepted{Note: "winter-1", Revision: 1, AtMS: epoch.UnixMilli(), Again: true})
+	again, err := Publish(ctx, store, note, false, clock)
+	is.NoErr(err)
+	is.Equal(again, first)
+	is.Equal(store.Counts().Writes, uint64(1))
+	other := *note
+	other.Summary = "something else"
+	_, err = Publish(ctx, store, &other, false, clock)
+	var duplicate *DuplicateError
+	is.True(errors.As(err, &duplicate))
+	is.Equal(failure.Of(err).Kind, failure.Conflict)
+}
+
+func TestPublishShowsARacingOperatorWhatChanged(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := standin.NewTable()
+	defer store.Close()
+	empty := &structs.Document{}
+	_, err := Publish(ctx, store, noteFor("one", "a", empty), false, clock)
+	is.NoErr(err)
+	second := noteFor("two", "b", empty)
+	_, err = Publish(ctx, store, second, false, clock)
+	var conflict *ConflictError
+	is.True(errors.As(err, &conflict))
+	is.Equal(conflict.Since, []Change{{Revision: 1, ID: "one", Author: "op", Summary: "s", Items: []Item{{ServiceItem, "a"}}}})
+	is.Equal(len(conflict.Overlap), 0)
+	differences, err := DryRun(ctx, store, second, true)
+	is.NoErr(err)
+	is.True(len(differences) > 0)
+	accepted, err := Publish(ctx, store, second, true, clock)
+	is.NoErr(err)
+	is.Equal(accepted.Revision, uint64(2))
+	_, err = Publish(ctx, store, noteFor("three", "a", empty), true, clock)
+	is.True(errors.As(err, &conflict))
+	is.Equal(conflict.Overlap, []Item{{ServiceItem, "a"}})
+	inForce, _, err := ReadInForce(ctx, store)
+	is.NoErr(err)
+	is.Equal(inForce.Origins["service a"].Note, "one")
+	is.Equal(inForce.Origins["service b"].Note, "two")
+}
+
+func TestPublishIntoAnOutageHasNoEffect(t *testing.T) {
+	is := is.New(t)
+	store := standin.NewTable()
+	defer store.Close()
+	store.SetFaults(standin.Faults{Down: true})
+	_, err := Publish(context.Background(), store, readNote(t, "first.jsonc"), false, clock)
+	var unapplied *UnappliedError
+	is.True(errors.As(err, &unapplied))
+	is.Equal(failure.Of(err).Run, failure.NotRun)
+	is.Equal(EventOf(err), event.NoteRefused)
+}
+
+// world is a table and operators that race, as the random test sees them.
+type world struct {
+	rows *standin.Rows
+	// late holds transactions whose effect comes after their answer was lost.
+	late []table.Transaction
+	// attempts are under way; waiting holds the effect of each.
+	attempts []*attempt
+	// ended are the attempts that ended, with what they told the operator.
+	ended []*attempt
+	ids   int
+	head  uint64
+	seen  InForce
+	follower
+}
+
+// attempt is one operator's call of Publish, step by step.
+type attempt struct {
+	proposal *Proposal
+	note     *Note
+}
+
+// follower is an instance that follows the configuration.
+type follower struct {
+	revision *Revision
+	last     uint64
+}
+
+func newWorld() *world {
+	return &world{rows: standin.NewRows(), follower: follower{revision: NewRevision()}}
+}
+
+// The store that the driver's own functions use; it never fails by itself.
+type rowStore struct{ rows *standin.Rows }
+
+func (s rowStore) Get(_ context.Context, key string) (table.Row, error) { return s.rows.Get(key), nil }
+func (s rowStore) GetChanged(_ context.Context, key string, _ uint64) (table.Row, bool, error) {
+	return s.rows.Get(key), true, nil
+}
+func (s rowStore) List(_ context.Context, prefix string) ([]table.Row, error) {
+	return s.rows.List(prefix), nil
+}
+func (s rowStore) Commit(_ context.Context, tx table.Transaction) (uint64, error) {
+	return s.rows.Commit(tx)
+}
+
+func (w *world) inForce(t *rapid.T) InForce {
+	inForce, _, err := ReadInForce(context.Background(), rowStore{w.rows})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return inForce
+}
+
+// open starts an attempt: with a new note against some revision seen so far, or
+// with a note of an attempt that ended.
+func (w *world) open(t *rapid.T) {
+	var note *Note
+	if len(w.ended) > 0 && rapid.Bool().Draw(t, "again") {
+		note = rapid.SampledFrom(w.ended).Draw(t, "ended").note
+	} else {
+		w.ids++
+		if rapid.Bool().Draw(t, "fresh") {
+			w.seen = w.inForce(t)
+		}
+		name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "service")
+		note = noteFor(fmt.Sprint("n", w.ids), name, &w.seen.Document)
+	}
+	a := &attempt{proposal: NewProposal(note, rapid.Bool().Draw(t, "rebase")), note: note}
+	a.proposal.Step(epoch, Begin{})
+	w.attempts = append(w.attempts, a)
+}
+
+// advance carries out one effect of one attempt.
+func (w *world) advance(t *rapid.T) {
+	if len(w.attempts) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.attempts)-1).Draw(t, "attempt")
+	a := w.attempts[i]
+	for _, e := range a.proposal.Effects() {
+		a.proposal.Step(epoch, w.serve(t, e))
+	}
+	if a.proposal.Ended() {
+		w.attempts = append(w.attempts[:i], w.attempts[i+1:]...)
+		w.ended = append(w.ended, a)
+	}
+}
+
+func (w *world) serve(t *rapid.T, effect ProposalEffect) ProposalMessage {
+	fate := rapid.SampledFrom([]string{"answered", "answered", "answered", "down", "lost", "late", "never"}).Draw(t, "fate")
+	if fate == "down" {
+		return Unavailable{}
+	}
+	commit, ok := effect.(CommitState)
+	if !ok {
+		return carryOut(context.Background(), rowStore{w.rows}, effect)
+	}
+	tx, err := transaction(commit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	switch fate {
+	case "never":
+		return Unanswered{}
+	case "late":
+		w.late = append(w.late, tx)
+		return Unanswered{}
+	}
+	_, err = w.rows.Commit(tx)
+	if fate == "lost" {
+		return Unanswered{}
+	}
+	return commitMessage(err)
+}
+
+// arrive lets one late transaction take effect, if it still fits.
+func (w *world) arrive(t *rapid.T) {
+	if len(w.late) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.late)-1).Draw(t, "arrival")
+	_, _ = w.rows.Commit(w.late[i])
+	w.late = append(w.late[:i], w.late[i+1:]...)
+}
+
+// follow lets the instance read the table, hear an older document or nothing.
+func (w *world) follow(t *rapid.T) {
+	inForce := w.inForce(t)
+	switch rapid.IntRange(0, 2).Draw(t, "source") {
+	case 0:
+		w.revision.Read(&inForce.Document)
+	case 1:
+		w.revision.Offered(&w.seen.Document)
+	case 2:
+		w.revision.Unavailable("down")
+	}
+	for _, e := range w.revision.Effects() {
+		adopted, ok := e.(Adopt)
+		if !ok {
+			continue
+		}
+		if adopted.Document.Revision <= w.last {
+			t.Fatalf("revision %d in force after %d", adopted.Document.Revision, w.last)
+		}
+		w.last = adopted.Document.Revision
+	}
+}
+
+// check compares the table with what the operators were told.
+func (w *world) check(t *rapid.T) {
+	head := w.inForce(t).Document.Revision
+	if head < w.head || head > w.head+1 {
+		t.Fatalf("revision %d after %d", head, w.head)
+	}
+	w.head = head
+	made := map[string]uint64{}
+	for revision := uint64(1); revision <= head; revision++ {
+		notes, err := ReadNotes(context.Background(), rowStore{w.rows}, revision-1, revision)
+		if err != nil {
+			t.Fatalf("revision %d has no note: %v", revision, err)
+		}
+		id := notes[0].Note.ID
+		if made[id] != 0 {
+			t.Fatalf("note %s made revisions %d and %d", id, made[id], revision)
+		}
+		made[id] = revision
+	}
+	for _, a := range w.ended {
+		w.checkAttempt(t, a, made[a.note.ID])
+	}
+}
+
+func (w *world) checkAttempt(t *rapid.T, a *attempt, made uint64) {
+	accepted, err := a.proposal.Result()
+	switch a.proposal.State() {
+	case "accepted":
+		if err != nil || accepted.Revision != made {
+			t.Fatalf("note %s: told revision %d (%v), made %d", a.note.ID, accepted.Revision, err, made)
+		}
+	case "refused", "unknown":
+		if err == nil {
+			t.Fatalf("note %s: %s without a reason", a.note.ID, a.proposal.State())
+		}
+	}
+}
+
+// TestRacingOperators lets operators race over lost and late answers and
+// outages. Revisions rise one by one, no note makes two of them, an accepted
+// note keeps its revision, and instances never go back.
+func TestRacingOperators(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		t.Repeat(map[string]func(*rapid.T){
+			"open": w.open, "advance": w.advance, "arrive": w.arrive, "follow": w.follow, "": w.check,
+		})
+	})
+}
+
+// TestRefusedNoteNeverTakesEffect publishes one note while others move the
+// configuration and late effects arrive: once it is refused, no transaction of
+// that attempt can land any more.
+func TestRefusedNoteNeverTakesEffect(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if len(w.attempts) < 2 && rapid.Bool().Draw(t, "open") {
+				w.openNew(t)
+			}
+			w.advance(t)
+			if rapid.Bool().Draw(t, "arrive") {
+				w.arrive(t)
+			}
+		}
+		for len(w.late) > 0 {
+			w.arrive(t)
+		}
+		for _, a := range w.ended {
+			row := w.rows.Get(IDKey(a.note.ID))
+			if a.proposal.State() == "refused" && row.Exists() {
+				t.Fatalf("note %s was refused and applied", a.note.ID)
+			}
+		}
+	})
+}
+
+// hookedStore calls after once, after its first read.
+type hookedStore struct {
+	rowStore
+	after func()
+}
+
+func (s *hookedStore) Get(ctx context.Context, key string) (table.Row, error) {
+	row, err := s.rowStore.Get(ctx, key)
+	s.after()
+	s.after = func() {}
+	return row, err
+}
+
+func TestEffectBetweenTwoReadsIsRecognized(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	p := NewProposal(readNote(t, "first.jsonc"), false)
+	p.Step(epoch, Begin{})
+	p.Step(epoch, carryOut(context.Background(), rowStore{rows}, p.Effects()[0]))
+	tx, err := transaction(p.Effects()[0].(CommitState))
+	is.NoErr(err)
+	p.Step(epoch, Unanswered{})
+	store := &hookedStore{rowStore: rowStore{rows}, after: func() {
+		_, err := rows.Commit(tx) // the lost transaction takes effect only now
+		is.NoErr(err)
+	}}
+	p.Step(epoch, carryOut(context.Background(), store, p.Effects()[0]))
+	is.Equal(p.State(), "accepted")
+}
+
+// openNew starts an attempt with a note of its own.
+func (w *world) openNew(t *rapid.T) {
+	ended := w.ended
+	w.ended = nil
+	w.open(t)
+	w.ended = ended
+}
--- /dev/null
+++ b/internal/release/release_test.go
@@ -0,0 +1,245 @@
+package release
+
+import (
+	"errors"
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/structs"
+)
+
+// TestMain fixes the seed of the random tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.UnixMilli(1_700_000_000_000)
+
+func service(pool string) structs.Service {
+	return structs.Service{
+		Pool: pool, StartObjective: 500, Target: 0.99, Lifetime: 60_000, TaskLimit: 20_000,
+		MaxTasks: DefaultMaxTasks, MaxTaskBytes: DefaultMaxTaskBytes,
+	}
+}
+
+func team(service string) structs.Team {
+	return structs.Team{Quotas: map[string]float64{service: 1}}
+}
+
+func readNote(t *testing.T, name string) *Note {
+	t.Helper()
+	text, err := os.ReadFile("testdata/" + name)
+	is.New(t).NoErr(err)
+	note, err := Parse(text)
+	is.New(t).NoErr(err)
+	return note
+}
+
+func TestParseReadsANoteWithDefaults(t *testing.T) {
+	is := is.New(t)
+	note := readNote(t, "first.jsonc")
+	want := service("bluffs")
+	want.ShortReserve = 0.25
+	is.Equal(note.Added.Services["recession"], want)
+	is.Equal(note.Added.Teams["crews"], structs.Team{Quotas: map[string]float64{"recession": 3}, MaxWaiting: 500})
+	is.Equal(joinItems(note.Items()), "service recession, team crews, team engineers")
+}
+
+func TestParseReportsEveryFaultWithItsLine(t *testing.T) {
+	is := is.New(t)
+	text, err := os.ReadFile("testdata/faulty.jsonc")
+	is.NoErr(err)
+	_, err = Parse(text)
+	var faulty *NoteError
+	is.True(errors.As(err, &faulty))
+	is.Equal(failure.Of(err).Kind, failure.Invalid)
+	type place struct {
+		key  string
+		line int
+	}
+	var places []place
+	for _, f := range faulty.Faults {
+		is.True(f.Problem != "" && f.Allowed != "")
+		places = append(places, place{f.Key, f.Line})
+	}
+	is.Equal(places, []place{
+		{"id", 2}, {"author", 3}, {"base", 4}, {"reviewer", 5},
+		{"added.services.recession.start_objective_ms", 10},
+		{"added.services.recession.target", 11},
+		{"added.services.recession.max_tasks", 14},
+		{"added.services.recession.max_tasks", 15},
+		{"added.services.recession.task_limit_ms", 13},
+		{"added.teams.crews.quotas.recession", 18},
+		{"withdrawn.teams.0", 20},
+		{"withdrawn.services", 20},
+		{"summary", 1},
+	})
+}
+
+func TestParseRefusesTextThatIsNoNote(t *testing.T) {
+	for name, text := range map[string]string{
+		"syntax": `{"id": `, "another kind": `[1]`, "empty": ``,
+		"no items":  `{"id": "a", "author": "b", "summary": "c", "base": 0}`,
+		"too large": string(make([]byte, MaxNoteBytes+1)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse([]byte(text))
+			var faulty *NoteError
+			is.True(errors.As(err, &faulty))
+			is.Equal(len(faulty.Faults), 1)
+		})
+	}
+}
+
+func base() *structs.Document {
+	return &structs.Document{
+		Revision: 4,
+		Services: map[string]structs.Service{"recession": service("bluffs"), "quotes": service("showroom")},
+		Teams:    map[string]structs.Team{"crews": team("recession")},
+	}
+}
+
+func TestApply(t *testing.T) {
+	cases := map[string]struct {
+		note Note
+		// want lists the items afterwards, or faults the keys of the faults.
+		want   string
+		faults []string
+	}{
+		"add": {
+			note: Note{Added: Items{
+				Services: map[string]structs.Service{"estimates": service("bluffs")},
+				Teams:    map[string]structs.Team{"engineers": team("estimates")}}},
+			want: "service estimates, service quotes, service recession, team crews, team engineers",
+		},
+		"change": {
+			note: Note{Changed: Items{Teams: map[string]structs.Team{"crews": team("quotes")}}},
+			want: "service quotes, service recession, team crews",
+		},
+		"withdraw a service with its quota": {
+			note: Note{
+				Changed:   Items{Teams: map[string]structs.Team{"crews": team("quotes")}},
+				Withdrawn: Names{Services: []string{"recession"}}},
+			want: "service quotes, team crews",
+		},
+		"withdraw a service that a quota names": {
+			note:   Note{Withdrawn: Names{Services: []string{"recession"}}},
+			faults: []string{"teams.crews.quotas.recession"},
+		},
+		"add what exists, change and withdraw what does not": {
+			note: Note{
+				Added:     Items{Services: map[string]structs.Service{"quotes": service("x")}},
+				Changed:   Items{Services: map[string]structs.Service{"none": service("x")}},
+				Withdrawn: Names{Teams: []string{"nobody"}}},
+			faults: []string{"added.services.quotes", "changed.services.none", "withdrawn.teams.nobody"},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			doc := base()
+			c.note.Base = doc.Revision
+			next, err := Apply(doc, &c.note)
+			is.Equal(doc, base()) // the given document stays as it is
+			if c.faults != nil {
+				var faulty *NoteError
+				is.True(errors.As(err, &faulty))
+				var keys []string
+				for _, f := range faulty.Faults {
+					keys = append(keys, f.Key)
+				}
+				is.Equal(keys, c.faults)
+				return
+			}
+			is.NoErr(err)
+			is.Equal(next.Revision, doc.Revision+1)
+			all := Note{Added: Items{Services: next.Services, Teams: next.Teams}}
+			is.Equal(joinItems(all.Items()), c.want)
+		})
+	}
+}
+
+func TestApplyRefusesAnotherBase(t *testing.T) {
+	is := is.New(t)
+	for _, revision := range []uint64{3, 5} {
+		_, err := Apply(base(), &Note{Base: revision, Withdrawn: Names{Teams: []string{"crews"}}})
+		var conflict *ConflictError
+		is.True(errors.As(err, &conflict))
+		is.Equal(conflict.Head, uint64(4))
+	}
+}
+
+func TestRebaseRefusesOverlapAndGaps(t *testing.T) {
+	is := is.New(t)
+	note := &Note{ID: "mine", Base: 4, Changed: Items{Services: map[string]structs.Service{"quotes": service("x")}}}
+	apart := Published{Revision: 5, Note: Note{ID: "other", Withdrawn: Names{Teams: []string{"crews"}}}}
+	overlapping := Published{Revision: 6, Note: Note{ID: "same", Changed: note.Changed}}
+	rebased, err := Rebase(note, 5, []Published{apart})
+	is.NoErr(err)
+	is.Equal(rebased.Base, uint64(5))
+	is.Equal(note.Base, uint64(4))
+	_, err = Rebase(note, 6, []Published{apart, overlapping})
+	var conflict *ConflictError
+	is.True(errors.As(err, &conflict))
+	is.Equal(conflict.Overlap, []Item{{ServiceItem, "quotes"}})
+	is.Equal(len(conflict.Since), 2)
+	_, err = Rebase(note, 6, []Published{apart}) // one note is missing
+	is.True(errors.As(err, &conflict))
+	_, err = Rebase(note, 3, nil) // the base is not known to the table
+	is.True(errors.As(err, &conflict))
+}
+
+func TestCompareShowsFieldsThatDiffer(t *testing.T) {
+	is := is.New(t)
+	changed := service("bluffs")
+	changed.Lifetime = 30_000
+	after, err := Apply(base(), &Note{
+		Base:      4,
+		Changed:   Items{Services: map[string]structs.Service{"recession": changed}, Teams: map[string]structs.Team{"crews": team("quotes")}},
+		Added:     Items{Teams: map[string]structs.Team{"desk": team("quotes")}},
+		Withdrawn: Names{},
+	})
+	is.NoErr(err)
+	is.Equal(RenderDifferences(Compare(base(), after)), `~ service recession, lifetime_ms: 60000 -> 30000
+- team crews, quotas.recession: 1
++ team crews, quotas.quotes: 1
++ team desk, max_waiting: 0
++ team desk, quotas.quotes: 1
+`)
+}
+
+func FuzzParse(f *testing.F) {
+	for _, name := range []string{"first.jsonc", "faulty.jsonc"} {
+		text, err := os.ReadFile("testdata/" + name)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		note, err := Parse(text)
+		var faulty *NoteError
+		if err != nil && (!errors.As(err, &faulty) || len(faulty.Faults) == 0) {
+			t.Fatalf("a refusal without faults: %v", err)
+		}
+		if err != nil {
+			return
+		}
+		if note.Digest() == "" || len(note.Items()) == 0 {
+			t.Fatal("an accepted note changes nothing")
+		}
+		doc := &structs.Document{Revision: note.Base}
+		if next, err := Apply(doc, note); err == nil && next.Revision != note.Base+1 {
+			t.Fatalf("revision %d after base %d", next.Revision, note.Base)
+		}
+	})
+}
--- a/internal/release/render.go
+++ b/internal/release/render.go
@@ -174,7 +174,8 @@
 
 func timeText(ms int64) string { return time.UnixMilli(ms).UTC().Format("2006-01-02 15:04:05 UTC") }
 
-func durationText(d time.Duration) string { return d.Truncate(time.Second).String() }
+// durationText shows no negative time where clocks differ.
+func durationText(d time.Duration) string { return max(d, 0).Truncate(time.Second).String() }
 
 func millisText(m structs.Millis) string {
 	if m%1000 == 0 {
--- /dev/null
+++ b/internal/release/watcher_test.go
@@ -0,0 +1,97 @@
+package release
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/standin"
+	"cactuspost.example/internal/structs"
+	"cactuspost.example/internal/table"
+)
+
+// observed is a watcher whose calls the test makes itself.
+type observed struct {
+	*Watcher
+	adopted []uint64
+	events  []event.ID
+}
+
+func observe(store table.Store) *observed {
+	o := &observed{}
+	o.Watcher = NewWatcher(WatcherOptions{
+		Store:  store,
+		Adopt:  func(d *structs.Document) { o.adopted = append(o.adopted, d.Revision) },
+		Report: func(id event.ID, _ string) { o.events = append(o.events, id) },
+	})
+	return o
+}
+
+func TestWatcherFollowsTheTableAndSkipsUnchangedRows(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := standin.NewTable()
+	defer store.Close()
+	w := observe(store)
+	w.Tick(epoch)
+	is.Equal(w.revision.Document(), nil) // no revision: no work
+	_, err := Publish(ctx, store, readNote(t, "first.jsonc"), false, clock)
+	is.NoErr(err)
+	w.Tick(epoch)
+	w.Tick(epoch)
+	is.Equal(w.adopted, []uint64{1})
+	is.Equal(w.events, []event.ID{event.ConfigurationAdopted})
+}
+
+func TestWatcherLearnsFromOthersInAnOutage(t *testing.T) {
+	is := is.New(t)
+	store := standin.NewTable()
+	defer store.Close()
+	store.SetFaults(standin.Faults{Down: true})
+	w := observe(store)
+	w.Tick(epoch)
+	w.Tick(epoch)
+	w.Handle(epoch, &structs.Document{Revision: 7})
+	w.Handle(epoch, &structs.Document{Revision: 6})
+	w.Handle(epoch, nil)
+	is.Equal(w.adopted, []uint64{7})
+	// The table comes back with an older revision, or with none.
+	store.SetFaults(standin.Faults{})
+	w.Tick(epoch)
+	w.Tick(epoch)
+	is.Equal(w.revision.Document().Revision, uint64(7))
+	is.Equal(w.events, []event.ID{
+		event.ConfigurationUnread, event.ConfigurationAdopted, event.ConfigurationReadAgain, event.ConfigurationBehind,
+	})
+}
+
+func TestWatcherReportsABadRowOnce(t *testing.T) {
+	is := is.New(t)
+	store := standin.NewTable()
+	defer store.Close()
+	_, err := store.Commit(context.Background(), table.Transaction{table.Put(ConfigKey, 0, []byte("{"))})
+	is.NoErr(err)
+	w := observe(store)
+	w.Tick(epoch)
+	w.Tick(epoch)
+	is.Equal(w.events, []event.ID{event.BadConfigurationRow, event.ConfigurationUnread})
+}
+
+func TestRunPublishesWhatIsOffered(t *testing.T) {
+	is := is.New(t)
+	store := standin.NewTable()
+	defer store.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var adopted uint64
+	w := NewWatcher(WatcherOptions{
+		Store:  store,
+		Adopt:  func(d *structs.Document) { adopted = d.Revision; cancel() },
+		Report: func(event.ID, string) {},
+	})
+	w.Offer(&structs.Document{Revision: 3})
+	w.Run(ctx)
+	is.Equal(adopted, uint64(3))
+}
