--- a/internal/release/errors.go
+++ b/internal/release/errors.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -10,6 +11,9 @@
 	"cactuspost.example/internal/failure"
 )
 
+// retryAfter is when an operator may publish a note again that met an outage.
+const retryAfter = 5 * time.Second
+
 // Fault is one thing wrong with a release note.
 type Fault struct {
 	// Key is the path of the value, such as "added.services.recession.target".
@@ -115,7 +119,7 @@
 
 // Unwrap returns the failure that callers of the system see.
 func (e *UnappliedError) Unwrap() error {
-	return failure.Wrap(e.Cause, failure.Unavailable, failure.NotRun, "the note was not applied")
+	return failure.Wrap(e.Cause, failure.Unavailable, failure.NotRun, "the note was not applied").WithRetry(retryAfter)
 }
 
 // UnknownError says that the note may or may not have been applied. Publishing
@@ -129,7 +133,7 @@
 
 // Unwrap returns the failure that callers of the system see.
 func (e *UnknownError) Unwrap() error {
-	return failure.Wrap(e.Cause, failure.Unavailable, failure.Unknown, "unknown whether the note was applied")
+	return failure.Wrap(e.Cause, failure.Unavailable, failure.Unknown, "unknown whether the note was applied").WithRetry(retryAfter)
 }
 
 // RowError reports a row of the configuration that can't be read.
--- a/internal/release/publish_test.go
+++ b/internal/release/publish_test.go
@@ -19,7 +19,7 @@
 
 func clock() time.Time { return epoch }
 
-// changing returns a note that changes one of the services a, b, ... or adds it.
+// noteFor returns a note that changes one of the services a, b, ... or adds it.
 func noteFor(id, name string, doc *structs.Document) *Note {
 	note := &Note{ID: id, Author: "op", Summary: "s", Base: doc.Revision}
 	items := Items{Services: map[string]structs.Service{name: service("pool-" + id)}}
@@ -91,6 +91,7 @@
 	var unapplied *UnappliedError
 	is.True(errors.As(err, &unapplied))
 	is.Equal(failure.Of(err).Run, failure.NotRun)
+	is.True(failure.Of(err).RetryAfter > 0)
 	is.Equal(EventOf(err), event.NoteRefused)
 }
 
--- a/internal/table/errors.go
+++ b/internal/table/errors.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"time"
 
 	"cactuspost.example/internal/failure"
 )
 
+// retryAfter is when a caller may ask an unavailable table again.
+const retryAfter = time.Second
+
 // ConflictError says that a transaction had no effect because a row was not at
 // the expected version.
 type ConflictError struct {
@@ -35,7 +39,7 @@
 
 // Unwrap returns the failure that callers of the system see.
 func (e *UnavailableError) Unwrap() error {
-	return failure.Wrap(e.Cause, failure.Unavailable, failure.NotRun, "the table is unavailable")
+	return failure.Wrap(e.Cause, failure.Unavailable, failure.NotRun, "the table is unavailable").WithRetry(retryAfter)
 }
 
 // UnknownOutcomeError says that the answer to a transaction was lost: it may or
@@ -49,7 +53,7 @@
 
 // Unwrap returns the failure that callers of the system see.
 func (e *UnknownOutcomeError) Unwrap() error {
-	return failure.Wrap(e.Cause, failure.Unavailable, failure.Unknown, "the table's answer was lost")
+	return failure.Wrap(e.Cause, failure.Unavailable, failure.Unknown, "the table's answer was lost").WithRetry(retryAfter)
 }
 
 // InvalidError says that the table does not accept a request as it is, such as
