Sessions survive stale hellos; a refused id stays refused; cancels follow grants

From the model: (1) a hello overtaken by a later one looked like a replaced agent, closed the newer link and barred the agent; hellos now carry a connection number and the session in which the agent's memory began. (2) A copy of a refused submission that arrived later could be admitted, which made "not run" untrue; the refusal is now the id's answer for good. (4) A cancel in the same message as its grant was handled first and lost.

--- a/internal/agent/charts.go
+++ b/internal/agent/charts.go
@@ -32,7 +32,7 @@
 			"withdraw_credits":  func(s linkStep) { s.core.withdrawCredits(s.link) },
 			"start_grace":       func(s linkStep) { s.link.graceEnd = s.core.now.Add(s.core.tuning.EntryGrace) },
 			"abandon_runs":      func(s linkStep) { s.core.abandonRuns(s.link) },
-			"renew_incarnation": func(s linkStep) { s.link.self = s.core.newIncarnation() },
+			"renew_identity":    func(s linkStep) { s.link.session = 0 },
 			"adopt_incarnation": func(s linkStep) { s.core.adoptIncarnation(s.link) },
 			"resume_runs":       func(s linkStep) { s.core.resumeRuns(s.link) },
 			"announce":          func(s linkStep) { s.core.announce(s.link) },
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -23,8 +23,9 @@
 	// answers now.
 	entry    structs.Incarnation
 	welcomed structs.Incarnation
-	// self is the incarnation under which the agent greets the entry.
-	self structs.Incarnation
+	// session is the connection at which the memory of the entry's grants
+	// began; zero makes the next connection begin a new one.
+	session LinkID
 	// greeted is set from the welcome to the end of the connection.
 	greeted bool
 	// entryLeaving says that the entry sends no more grants.
@@ -64,17 +65,13 @@
 	retry.MaxInterval = c.tuning.LastRetry
 	// The jitter is added here, from the agent's own seed.
 	retry.RandomizationFactor = 0
-	c.links = append(c.links, &link{address: address, seed: seed, listed: true, self: c.opts.Incarnation, state: linkChart.Initial(), retry: retry})
+	c.links = append(c.links, &link{address: address, seed: seed, listed: true, state: linkChart.Initial(), retry: retry})
 }
 
 func (c *Core) fireLink(l *link, e chart.Event) bool {
 	return linkChart.Fire(&l.state, e, linkStep{core: c, link: l})
 }
 
-func (c *Core) newIncarnation() structs.Incarnation {
-	return structs.Incarnation(c.rng.Uint64() | 1)
-}
-
 func (c *Core) tickLink(l *link) {
 	if !l.graceEnd.IsZero() && !c.now.Before(l.graceEnd) {
 		if c.fireLink(l, linkEvents.GraceOver) {
@@ -100,6 +97,9 @@
 func (c *Core) dial(l *link) {
 	c.lastID++
 	l.id = c.lastID
+	if l.session == 0 {
+		l.session = l.id
+	}
 	c.byID[l.id] = l
 	c.emit(&Dial{Link: l.id, Address: l.address})
 }
@@ -145,7 +145,7 @@
 // handled any more from here on.
 func (c *Core) sendHello(l *link) {
 	hello := &structs.Hello{
-		Endpoint: c.opts.Endpoint, Incarnation: l.self, Pool: c.opts.Pool, DataCentre: c.opts.DataCentre,
+		Endpoint: c.opts.Endpoint, Incarnation: c.opts.Incarnation, Connection: uint64(l.id), Session: uint64(l.session), Pool: c.opts.Pool, DataCentre: c.opts.DataCentre,
 		Slots: uint32(len(c.slots)), Capacity: c.opts.Capacity, Leaving: c.leaving(),
 	}
 	for _, r := range c.sortedRuns() {
@@ -170,14 +170,14 @@
 	c.learn(m.Message.Config)
 	c.setPeers(m.Message.Peers)
 	c.takeAcks(m.Message.Acks)
+	for i := range m.Message.Grants {
+		c.takeGrant(l, &m.Message.Grants[i])
+	}
 	for _, id := range m.Message.Cancels {
 		if r := c.runs[id]; r != nil {
 			c.fireRun(r, runEvents.Stop)
 		}
 	}
-	for i := range m.Message.Grants {
-		c.takeGrant(l, &m.Message.Grants[i])
-	}
 	if m.Message.Leaving {
 		l.entryLeaving = true
 		c.withdrawCredits(l)
--- a/internal/dispatch/charts.go
+++ b/internal/dispatch/charts.go
@@ -80,6 +80,7 @@
 			"accept":          func(s jobStep) { s.core.accept(s.job, s.submit) },
 			"answer_complete": func(s jobStep) { s.core.complete(s.job) },
 			"fail_by_task":    func(s jobStep) { s.core.fail(s.job, s.job.cause) },
+			"fail_refused":    func(s jobStep) { s.core.fail(s.job, s.job.refusal) },
 			"fail_shed":       func(s jobStep) { s.core.fail(s.job, shedFailure(s.job)) },
 			"fail_cancelled":  func(s jobStep) { s.core.fail(s.job, cancelFailure(s.job)) },
 			"fail_expired":    func(s jobStep) { s.core.fail(s.job, expiryFailure(s.job)) },
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -113,13 +113,22 @@
 	j.refusal = nil
 	c.fireJob(j, jobEvents.Submit, m)
 	if j.refusal != nil {
-		c.stats.JobsRefused++
-		c.refuse(m.Reply, j.refusal)
+		c.refuseJob(j, m.Reply)
 		return
 	}
 	c.reply(j, m.Reply, m.Wait)
 }
 
+// refuseJob tells the caller that its job was not admitted. The refusal is the
+// answer of this id for good: it says "not run", so a delayed copy of the
+// submission must not run either.
+func (c *Core) refuseJob(j *job, reply ReplyID) {
+	c.stats.JobsRefused++
+	c.refuse(reply, j.refusal)
+	j.delivered = true
+	c.undelivered--
+}
+
 // resubmit answers a submission of a job whose tasks are known.
 func (c *Core) resubmit(j *job, m *SubmitJob, digest uint64) {
 	c.stats.JobsResubmits++
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -14,11 +14,14 @@
 type session struct {
 	endpoint    string
 	incarnation structs.Incarnation
-	dataCentre  string
-	capacity    structs.Needs
-	slots       uint32
-	pool        *pool
-	state       chart.State
+	// memory is the Session of the hello, connection the highest one handled.
+	memory     uint64
+	connection uint64
+	dataCentre string
+	capacity   structs.Needs
+	slots      uint32
+	pool       *pool
+	state      chart.State
 	// link is zero while the agent isn't connected.
 	link     LinkID
 	graceEnd time.Time
@@ -110,7 +113,12 @@
 		c.closeLink(m.Link)
 		return nil
 	}
-	if s != nil && s.incarnation != hello.Incarnation {
+	if s != nil && s.incarnation == hello.Incarnation && hello.Connection <= s.connection {
+		// A later connection of the same agent was handled before this one.
+		c.closeLink(m.Link)
+		return nil
+	}
+	if s != nil && (s.incarnation != hello.Incarnation || s.memory != hello.Session) {
 		s = c.replaceSession(s, hello)
 	}
 	if s == nil {
@@ -123,7 +131,7 @@
 func (c *Core) newSession(hello *structs.Hello) *session {
 	p := c.pool(hello.Pool)
 	s := &session{
-		endpoint: hello.Endpoint, incarnation: hello.Incarnation, dataCentre: hello.DataCentre,
+		endpoint: hello.Endpoint, incarnation: hello.Incarnation, memory: hello.Session, dataCentre: hello.DataCentre,
 		capacity: hello.Capacity, slots: hello.Slots, pool: p,
 		state: sessionChart.Initial(), health: healthChart.Initial(),
 		granted: map[structs.GrantID]*task{},
@@ -143,7 +151,10 @@
 	c.detach(old)
 	c.removeSession(old)
 	s := c.newSession(hello)
-	s.ended = append(old.ended, old.incarnation)
+	s.ended = old.ended
+	if old.incarnation != s.incarnation {
+		s.ended = append(s.ended, old.incarnation)
+	}
 	if len(s.ended) > endedLimit {
 		s.ended = s.ended[1:]
 	}
@@ -160,9 +171,9 @@
 func (c *Core) attach(s *session, link LinkID, hello *structs.Hello) {
 	c.detach(s)
 	s.link = link
+	s.connection = hello.Connection
 	s.slots = hello.Slots
 	c.links[link] = s
-	s.credits = creditCount{}
 	c.fireSession(s, sessionEvents.Hello, hello)
 	m := s.message()
 	m.Welcome = &structs.Welcome{Entry: c.self, Revision: c.revision()}
--- a/internal/structs/link.go
+++ b/internal/structs/link.go
@@ -29,10 +29,17 @@
 	// Endpoint is the name of the endpoint beside the agent.
 	Endpoint    string
 	Incarnation Incarnation
-	Pool        string
-	DataCentre  string
-	Slots       uint32
-	Capacity    Needs
+	// Connection rises with each attempt of the agent to connect: a hello that
+	// is overtaken by a later one is told by it.
+	Connection uint64
+	// Session is the Connection at which the agent's present memory of the
+	// entry's grants began. An agent that dropped results of the entry begins a
+	// new session: it can no longer say which grants never started.
+	Session    uint64
+	Pool       string
+	DataCentre string
+	Slots      uint32
+	Capacity   Needs
 	// Held lists the grants of this entry that the agent has started and whose
 	// results are not acknowledged. A grant that is not listed was not started
 	// and never will be.
@@ -88,9 +95,9 @@
 	Welcome *Welcome
 	// Acks lists grants whose results were received.
 	Acks []GrantID
-	// Cancels lists grants whose tasks should stop.
+	Grants []Grant
+	// Cancels lists grants whose tasks should stop, also of this message.
 	Cancels []GrantID
-	Grants  []Grant
 	// Demand replaces the entry's demand at the agent.
 	Demand *Demand
 	// Config replaces the configuration if its revision is higher.
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -207,6 +207,7 @@
 	return &wirepb.Hello{
 		Endpoint: h.Endpoint, Incarnation: uint64(h.Incarnation), Pool: h.Pool, DataCentre: h.DataCentre,
 		Slots: h.Slots, Held: grantIDsToPB(h.Held), Leaving: h.Leaving,
+		Connection: h.Connection, Session: h.Session,
 		Capacity: &wirepb.Needs{Cores: h.Capacity.Cores, MemoryMb: h.Capacity.MemoryMB, Accelerators: h.Capacity.Accelerators},
 	}
 }
@@ -216,6 +217,7 @@
 	return &structs.Hello{
 		Endpoint: pb.Endpoint, Incarnation: structs.Incarnation(pb.Incarnation), Pool: pb.Pool, DataCentre: pb.DataCentre,
 		Slots: pb.Slots, Held: grantIDsFromPB(pb.Held), Leaving: pb.Leaving,
+		Connection: pb.Connection, Session: pb.Session,
 		Capacity: structs.Needs{Cores: capacity.GetCores(), MemoryMB: capacity.GetMemoryMb(), Accelerators: capacity.GetAccelerators()},
 	}
 }
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -16,7 +16,7 @@
 	is := is.New(t)
 	want := &structs.FromAgent{
 		Hello: &structs.Hello{Endpoint: "w1", Incarnation: 5, Pool: "p", DataCentre: "Matane", Slots: 8,
-			Capacity: structs.Needs{Cores: 16, MemoryMB: 32, Accelerators: 1}, Held: []structs.GrantID{grantID}, Leaving: true},
+			Capacity: structs.Needs{Cores: 16, MemoryMB: 32, Accelerators: 1}, Held: []structs.GrantID{grantID}, Leaving: true, Connection: 12, Session: 13},
 		Results:  []structs.Result{{Grant: grantID, Outcome: structs.Errored, Payload: []byte("x"), RunTime: time.Millisecond}},
 		Refusals: []structs.Refusal{{Grant: grantID, Reason: structs.BufferFull}},
 		Revoked:  structs.Credits{Any: 1}, Offered: structs.Credits{Short: 2},
