--- a/internal/structs/link.go
+++ b/internal/structs/link.go
@@ -94,7 +94,7 @@
 type FromEntry struct {
 	Welcome *Welcome
 	// Acks lists grants whose results were received.
-	Acks []GrantID
+	Acks   []GrantID
 	Grants []Grant
 	// Cancels lists grants whose tasks should stop, also of this message.
 	Cancels []GrantID
