Entry daemon: registration, configuration and release notes by the platform's table

GET /v1/endpoints shows every entry; GET /v1/notes is readable while the table is down, from what was last read. The planned stop removes the registration once no job is left.

--- a/cmd/cactuspost-entry/main.go
+++ b/cmd/cactuspost-entry/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
@@ -18,8 +19,12 @@
 	"cactuspost.example/internal/failure"
 	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/settings"
+	"cactuspost.example/internal/table"
 )
 
+// tableTimeout bounds a call of the platform's table that has no bound of its own.
+const tableTimeout = 2 * time.Second
+
 func main() {
 	if err := command().Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -94,6 +99,7 @@
 	config := entryd.FromSettings(s)
 	config.TLS = certificate
 	config.Settle = entryd.DefaultSettle
+	config.Store = table.NewClient(s.TableAddress, tableTimeout)
 	config.Log = logging.New(os.Stderr, s.LogLevel).With(zap.String("daemon", s.Name))
 	return config, nil
 }
--- /dev/null
+++ b/internal/entryd/cluster.go
@@ -0,0 +1,91 @@
+package entryd
+
+import (
+	"context"
+
+	"cactuspost.example/internal/actor"
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/api/operator"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/structs"
+)
+
+// cluster gives operators the views of all entries.
+type cluster struct {
+	calls *calls
+	peers *actor.Inbox[peerMessage]
+}
+
+// views returns this entry's view and those of the others, each of them with a
+// failure in its place if that entry did not answer.
+func (c *cluster) views() ([]operator.EntryView, *failure.Failure) {
+	own, refusal := c.calls.inspect()
+	if refusal != nil {
+		return nil, refusal
+	}
+	views := []operator.EntryView{operator.ViewOf(*own)}
+	answer := make(chan []operator.EntryView, 1)
+	if !c.peers.TrySend(&collect{answer: answer}) {
+		return nil, tooManyPassedOn()
+	}
+	select {
+	case others := <-answer:
+		return append(views, others...), nil
+	case <-c.peers.Done():
+		return views, nil
+	}
+}
+
+// others returns the listed entries but this one.
+func (a *peersActor) others() []structs.Peer {
+	var others []structs.Peer
+	for _, entry := range a.list {
+		if entry.Incarnation != a.self {
+			others = append(others, entry)
+		}
+	}
+	return others
+}
+
+// collectViews asks all entries at a time and answers in their order.
+func collectViews(ctx context.Context, asker asker, entries []structs.Peer, answer chan<- []operator.EntryView) {
+	views := make([]operator.EntryView, len(entries))
+	done := make(chan struct{}, len(entries))
+	for i, entry := range entries {
+		go func() {
+			views[i] = viewOf(ctx, asker, entry)
+			done <- struct{}{}
+		}()
+	}
+	for range entries {
+		<-done
+	}
+	answer <- views
+}
+
+func viewOf(ctx context.Context, asker asker, entry structs.Peer) operator.EntryView {
+	view := operator.EntryView{}
+	raw, err := asker.Inspect(ctx, entry)
+	if err == nil {
+		err = api.DecodeLenient(raw, &view)
+	}
+	if err != nil {
+		f := failure.Of(err)
+		return operator.EntryView{Entry: entry, Failure: &api.FailureForm{Kind: f.Kind, Run: f.Run, Detail: f.Detail}}
+	}
+	return view
+}
+
+// InspectPeer returns this entry's view for another one, or nothing when the
+// dispatcher can't tell.
+func (j *jobs) InspectPeer(context.Context) []byte {
+	own, refusal := j.calls.inspect()
+	if refusal != nil {
+		return nil
+	}
+	raw, err := api.Encode(operator.ViewOf(*own))
+	if err != nil {
+		return nil
+	}
+	return raw
+}
--- a/internal/entryd/config.go
+++ b/internal/entryd/config.go
@@ -10,6 +10,7 @@
 	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/settings"
 	"cactuspost.example/internal/structs"
+	"cactuspost.example/internal/table"
 )
 
 // DefaultSettle is how long an entry that is told to stop waits for the
@@ -36,6 +37,9 @@
 	PeerAddress string
 	// Seed is for the dispatcher's random choices; 0 takes the incarnation.
 	Seed uint64
+	// Store is the platform's table; nil means that peers and documents come by
+	// SetPeers and Configure.
+	Store table.Store
 	// Document is in force from the start; nil means that none is known yet.
 	Document  *structs.Document
 	Limits    settings.Limits
@@ -50,7 +54,8 @@
 	Settle time.Duration
 	// DrainTimeout bounds the wait for open jobs; 0 means their own lifetimes.
 	DrainTimeout time.Duration
-	// Notes and Report serve the operators' paths of these names, if set.
+	// Notes and Report serve the operators' paths of these names. Without Notes
+	// the entry serves the notes of its Store.
 	Notes  Hook
 	Report Hook
 	// NewCore makes the dispatcher; nil makes the product's own.
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -48,6 +48,8 @@
 	front      *front
 	peerServer *http.Server
 	peerClient *peer.Client
+	// platform is nil if the entry has no table.
+	platform *platform
 }
 
 // listeners are the bound addresses of a daemon that is about to start.
@@ -137,6 +139,12 @@
 	self := config.Self
 	calls := &calls{inbox: p.core}
 	jobs := &jobs{self: self.Incarnation, calls: calls, peers: p.peers}
+	cluster := &cluster{calls: calls, peers: p.peers}
+	d := &Daemon{self: self, parts: p, done: make(chan struct{})}
+	p.platform = newPlatform(config, d)
+	if p.platform != nil && config.Notes == nil {
+		config.Notes = (&notes{inbox: p.platform.notes, store: config.Store, cluster: cluster, log: config.Log}).serve
+	}
 	p.front = newFront(frontOptions{
 		limits:      config.Limits,
 		credentials: newCredentials(config.Callers, config.Operators),
@@ -144,12 +152,11 @@
 		pprof:       config.Pprof,
 		notes:       config.Notes,
 		report:      config.Report,
-	}, bound.http, jobs, calls, config.Log)
+	}, bound.http, jobs, cluster, config.Log)
 	p.peerServer = &http.Server{
 		Handler:           peer.NewHandler(self.Incarnation, jobs),
 		ReadHeaderTimeout: peerHeaderTimeout,
 	}
-	d := &Daemon{self: self, parts: p, done: make(chan struct{})}
 	d.shutdown = newShutdown(ctx, p, config)
 	coreActor := newCoreActor(config.NewCore(self, config.Seed), config.Log, p.drained)
 	peersActor := &peersActor{ctx: ctx, self: self.Incarnation, asker: p.peerClient, log: config.Log, inbox: p.peers}
@@ -158,6 +165,9 @@
 	go p.front.serve()
 	go d.servePeers(bound.peer, config)
 	go d.run(ctx)
+	if p.platform != nil {
+		p.platform.run(d.shutdown.bound)
+	}
 	config.Log.Event(event.DaemonStarted, zap.Stringer("incarnation", self.Incarnation),
 		zap.String("http", self.HTTPAddress), zap.String("link", self.LinkAddress), zap.String("peer", self.PeerAddress))
 	return d
--- a/internal/entryd/front.go
+++ b/internal/entryd/front.go
@@ -31,9 +31,19 @@
 	spareConnections = 64
 )
 
+// OperatorRequest is a request on an operators' path.
+type OperatorRequest struct {
+	Operator string
+	Method   string
+	Query    map[string]string
+	Body     []byte
+	// Text asks for an answer in text for a person; else it is JSON.
+	Text bool
+}
+
 // Hook serves an operators' path that other parts of the daemon fill in. It
-// returns the body of a 200 answer in JSON.
-type Hook func(method string, query map[string]string, body []byte) ([]byte, *failure.Failure)
+// returns the body of a 200 answer.
+type Hook func(OperatorRequest) ([]byte, *failure.Failure)
 
 // frontOptions configures the HTTP server.
 type frontOptions struct {
@@ -51,6 +61,7 @@
 	options  frontOptions
 	jobs     *jobs
 	calls    *calls
+	cluster  *cluster
 	log      *logging.Logger
 	routes   []route
 	metrics  *metrics.Set
@@ -61,11 +72,12 @@
 	leaving chan struct{}
 }
 
-func newFront(options frontOptions, listener net.Listener, jobs *jobs, calls *calls, log *logging.Logger) *front {
+func newFront(options frontOptions, listener net.Listener, jobs *jobs, cluster *cluster, log *logging.Logger) *front {
 	f := &front{
 		options:  options,
 		jobs:     jobs,
-		calls:    calls,
+		calls:    cluster.calls,
+		cluster:  cluster,
 		log:      log,
 		metrics:  metrics.NewSet(),
 		listener: lingerListener{listener},
--- a/internal/entryd/front_test.go
+++ b/internal/entryd/front_test.go
@@ -201,16 +201,16 @@
 	config.Log = log
 	config.Pprof = true
 	config.Limits = settings.Limits{MaxBody: 1 << 10, MaxConnections: 10, HeaderTimeout: time.Minute}
-	config.Notes = func(method string, query map[string]string, body []byte) ([]byte, *failure.Failure) {
-		return []byte(method + query["revision"] + string(body)), nil
+	config.Notes = func(r OperatorRequest) ([]byte, *failure.Failure) {
+		return []byte(r.Operator + r.Method + r.Query["revision"] + string(r.Body)), nil
 	}
-	config.Report = func(string, map[string]string, []byte) ([]byte, *failure.Failure) {
+	config.Report = func(OperatorRequest) ([]byte, *failure.Failure) {
 		return nil, failure.New(failure.Conflict, failure.NotRun, "")
 	}
 	d := start(t, config)
 	greet(t, d)
 	watch.await(event.AgentConnected)
-	is.Equal(string(mustSend(is, d, "POST", "/v1/notes?revision=7", operatorToken, "note").body), "POST7note")
+	is.Equal(string(mustSend(is, d, "POST", "/v1/notes?revision=7", operatorToken, "note").body), "opPOST7note")
 	is.Equal(mustSend(is, d, "GET", "/v1/report", operatorToken, "").failure(is).Kind, failure.Conflict)
 	is.True(strings.Contains(string(mustSend(is, d, "GET", "/v1/endpoints", operatorToken, "").body), `"endpoint":"w1"`))
 	is.Equal(mustSend(is, d, "GET", "/debug/pprof/cmdline", operatorToken, "").status, http.StatusOK)
--- a/internal/entryd/handlers.go
+++ b/internal/entryd/handlers.go
@@ -144,12 +144,12 @@
 
 // endpoints serves GET api.EndpointsPath.
 func (f *front) endpoints(ctx *fasthttp.RequestCtx, _ principal) {
-	view, refusal := f.calls.inspect()
+	views, refusal := f.cluster.views()
 	if refusal != nil {
 		f.refuse(ctx, refusal)
 		return
 	}
-	f.encode(ctx, http.StatusOK, &operator.EndpointsAnswer{Entries: []operator.EntryView{operator.ViewOf(*view)}})
+	f.encode(ctx, http.StatusOK, &operator.EndpointsAnswer{Entries: views})
 }
 
 // hook serves an operators' path by a function of another part of the daemon.
@@ -159,17 +159,31 @@
 			f.refuse(ctx, failure.New(failure.Unavailable, failure.NotRun, "this entry does not serve the path"))
 			return
 		}
-		query := map[string]string{}
-		for key, value := range ctx.QueryArgs().All() {
-			query[string(key)] = string(value)
-		}
-		body, refusal := h(string(ctx.Method()), query, ctx.PostBody())
+		request := operatorRequest(ctx, who)
+		body, refusal := h(request)
 		if refusal != nil {
 			f.refuse(ctx, refusal)
 			return
 		}
 		f.write(ctx, http.StatusOK, body)
+		if request.Text {
+			ctx.SetContentType(api.TextType)
+		}
+	}
+}
+
+func operatorRequest(ctx *fasthttp.RequestCtx, who principal) OperatorRequest {
+	r := OperatorRequest{
+		Operator: who.operator,
+		Method:   string(ctx.Method()),
+		Query:    map[string]string{},
+		Body:     ctx.PostBody(),
+		Text:     string(ctx.Request.Header.Peek(fasthttp.HeaderAccept)) == api.TextType,
+	}
+	for key, value := range ctx.QueryArgs().All() {
+		r.Query[string(key)] = string(value)
 	}
+	return r
 }
 
 // health serves GET api.HealthPath: the process answers and so does its core.
--- a/internal/entryd/peers.go
+++ b/internal/entryd/peers.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"cactuspost.example/internal/actor"
+	"cactuspost.example/internal/api/operator"
 	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
 	"cactuspost.example/internal/logging"
@@ -39,6 +40,9 @@
 	answer  chan<- outcome
 }
 
+// collect asks every other entry for its state.
+type collect struct{ answer chan<- []operator.EntryView }
+
 // askEnded says that one request to an owner has ended.
 type askEnded struct{}
 
@@ -47,6 +51,7 @@
 
 func (*setPeers) isPeerMessage() {}
 func (*passedOn) isPeerMessage() {}
+func (*collect) isPeerMessage()  {}
 func (askEnded) isPeerMessage()  {}
 func (endPeers) isPeerMessage()  {}
 
@@ -59,6 +64,7 @@
 // asker asks another entry. *peer.Client implements it.
 type asker interface {
 	Ask(ctx context.Context, address string, r *peer.Request) (*peer.Response, error)
+	Inspect(ctx context.Context, entry structs.Peer) ([]byte, error)
 }
 
 // peersActor owns the list of entries and passes requests on to owners. Each
@@ -80,6 +86,8 @@
 		a.list = m.peers
 	case *passedOn:
 		a.passOn(now, m)
+	case *collect:
+		go collectViews(a.ctx, a.asker, a.others(), m.answer)
 	case askEnded:
 		a.asking--
 	case endPeers:
--- a/internal/entryd/peers_test.go
+++ b/internal/entryd/peers_test.go
@@ -110,6 +110,8 @@
 	return &peer.Response{Incarnation: r.Job.Owner, Answer: &structs.Answer{ID: r.Job}}, nil
 }
 
+func (h *heldAsker) Inspect(context.Context, structs.Peer) ([]byte, error) { return nil, nil }
+
 func TestRequestsToOwnersAreBounded(t *testing.T) {
 	is := is.New(t)
 	held := &heldAsker{release: make(chan struct{})}
--- a/internal/entryd/shutdown.go
+++ b/internal/entryd/shutdown.go
@@ -42,6 +42,7 @@
 		"report_drained": (*shutdown).reportDrained,
 		"report_overdue": (*shutdown).reportOverdue,
 		"close_callers":  (*shutdown).closeCallers,
+		"deregister":     (*shutdown).deregister,
 		"close_peers":    (*shutdown).closePeers,
 		"close_links":    (*shutdown).closeLinks,
 		"end":            (*shutdown).end,
@@ -49,13 +50,14 @@
 })
 
 var shutdownEvents struct {
-	Stop        chart.Event `chart:"stop"`
-	Settled     chart.Event `chart:"settled"`
-	Drained     chart.Event `chart:"drained"`
-	Overdue     chart.Event `chart:"overdue"`
-	CallersDone chart.Event `chart:"callers_done"`
-	PeersDone   chart.Event `chart:"peers_done"`
-	LinksDone   chart.Event `chart:"links_done"`
+	Stop         chart.Event `chart:"stop"`
+	Settled      chart.Event `chart:"settled"`
+	Drained      chart.Event `chart:"drained"`
+	Overdue      chart.Event `chart:"overdue"`
+	CallersDone  chart.Event `chart:"callers_done"`
+	Deregistered chart.Event `chart:"deregistered"`
+	PeersDone    chart.Event `chart:"peers_done"`
+	LinksDone    chart.Event `chart:"links_done"`
 }
 
 func init() { shutdownChart.MustNames(&shutdownEvents) }
@@ -128,6 +130,17 @@
 	s.after(shutdownEvents.CallersDone, func() error { return s.parts.front.shutdown(s.bound) })
 }
 
+func (s *shutdown) deregister() {
+	if s.parts.platform == nil {
+		s.inbox.TrySend(shutdownEvents.Deregistered)
+		return
+	}
+	s.after(shutdownEvents.Deregistered, func() error {
+		s.parts.platform.leave()
+		return nil
+	})
+}
+
 func (s *shutdown) closePeers() {
 	s.after(shutdownEvents.PeersDone, func() error { return s.parts.peerServer.Shutdown(s.bound) })
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -9,7 +9,9 @@
 	"connectrpc.com/connect"
 
 	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/peer/peerpb"
 	"cactuspost.example/internal/peer/peerpb/peerpbconnect"
+	"cactuspost.example/internal/structs"
 )
 
 // Bounds of a request to another entry.
@@ -46,14 +48,32 @@
 func (c *Client) Ask(ctx context.Context, address string, r *Request) (*Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.Wait+replyMargin)
 	defer cancel()
-	jobs := peerpbconnect.NewJobsClient(&http.Client{Transport: c.transport}, "http://"+address,
-		connect.WithReadMaxBytes(MaxMessageBytes), connect.WithSendMaxBytes(MaxMessageBytes))
-	reply, err := jobs.Ask(ctx, connect.NewRequest(requestToPB(r)))
+	reply, err := c.jobs(address).Ask(ctx, connect.NewRequest(requestToPB(r)))
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Unavailable, failure.Unknown, "ask the entry at "+address)
 	}
 	return responseFromPB(r.Job, reply.Msg)
 }
 
+// Inspect returns the state for operators of the entry at the address, in its
+// JSON form. An error means that it could not be had from that incarnation.
+func (c *Client) Inspect(ctx context.Context, entry structs.Peer) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, replyMargin)
+	defer cancel()
+	reply, err := c.jobs(entry.PeerAddress).Inspect(ctx, connect.NewRequest(&peerpb.InspectRequest{}))
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Unavailable, failure.NotRun, "inspect the entry at "+entry.PeerAddress)
+	}
+	if reply.Msg.Incarnation != uint64(entry.Incarnation) || len(reply.Msg.View) == 0 {
+		return nil, failure.New(failure.Unavailable, failure.NotRun, "the entry has no view")
+	}
+	return reply.Msg.View, nil
+}
+
+func (c *Client) jobs(address string) peerpbconnect.JobsClient {
+	return peerpbconnect.NewJobsClient(&http.Client{Transport: c.transport}, "http://"+address,
+		connect.WithReadMaxBytes(MaxMessageBytes), connect.WithSendMaxBytes(MaxMessageBytes))
+}
+
 // Close ends the idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
--- a/internal/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/internal/peer/peerpb/peerpbconnect/peer.connect.go
@@ -37,12 +37,16 @@
 const (
 	// JobsAskProcedure is the fully-qualified name of the Jobs's Ask RPC.
 	JobsAskProcedure = "/cactuspost.peer.Jobs/Ask"
+	// JobsInspectProcedure is the fully-qualified name of the Jobs's Inspect RPC.
+	JobsInspectProcedure = "/cactuspost.peer.Jobs/Inspect"
 )
 
 // JobsClient is a client for the cactuspost.peer.Jobs service.
 type JobsClient interface {
 	// Ask carries out one caller's request at the owner. It is idempotent.
 	Ask(context.Context, *connect.Request[peerpb.AskRequest]) (*connect.Response[peerpb.AskResponse], error)
+	// Inspect returns the answering entry's state for operators.
+	Inspect(context.Context, *connect.Request[peerpb.InspectRequest]) (*connect.Response[peerpb.InspectResponse], error)
 }
 
 // NewJobsClient constructs a client for the cactuspost.peer.Jobs service. By default, it uses the
@@ -62,12 +66,19 @@
 			connect.WithSchema(jobsMethods.ByName("Ask")),
 			connect.WithClientOptions(opts...),
 		),
+		inspect: connect.NewClient[peerpb.InspectRequest, peerpb.InspectResponse](
+			httpClient,
+			baseURL+JobsInspectProcedure,
+			connect.WithSchema(jobsMethods.ByName("Inspect")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // jobsClient implements JobsClient.
 type jobsClient struct {
-	ask *connect.Client[peerpb.AskRequest, peerpb.AskResponse]
+	ask     *connect.Client[peerpb.AskRequest, peerpb.AskResponse]
+	inspect *connect.Client[peerpb.InspectRequest, peerpb.InspectResponse]
 }
 
 // Ask calls cactuspost.peer.Jobs.Ask.
@@ -75,10 +86,17 @@
 	return c.ask.CallUnary(ctx, req)
 }
 
+// Inspect calls cactuspost.peer.Jobs.Inspect.
+func (c *jobsClient) Inspect(ctx context.Context, req *connect.Request[peerpb.InspectRequest]) (*connect.Response[peerpb.InspectResponse], error) {
+	return c.inspect.CallUnary(ctx, req)
+}
+
 // JobsHandler is an implementation of the cactuspost.peer.Jobs service.
 type JobsHandler interface {
 	// Ask carries out one caller's request at the owner. It is idempotent.
 	Ask(context.Context, *connect.Request[peerpb.AskRequest]) (*connect.Response[peerpb.AskResponse], error)
+	// Inspect returns the answering entry's state for operators.
+	Inspect(context.Context, *connect.Request[peerpb.InspectRequest]) (*connect.Response[peerpb.InspectResponse], error)
 }
 
 // NewJobsHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -94,10 +112,18 @@
 		connect.WithSchema(jobsMethods.ByName("Ask")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobsInspectHandler := connect.NewUnaryHandler(
+		JobsInspectProcedure,
+		svc.Inspect,
+		connect.WithSchema(jobsMethods.ByName("Inspect")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/cactuspost.peer.Jobs/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case JobsAskProcedure:
 			jobsAskHandler.ServeHTTP(w, r)
+		case JobsInspectProcedure:
+			jobsInspectHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -110,3 +136,7 @@
 func (UnimplementedJobsHandler) Ask(context.Context, *connect.Request[peerpb.AskRequest]) (*connect.Response[peerpb.AskResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspost.peer.Jobs.Ask is not implemented"))
 }
+
+func (UnimplementedJobsHandler) Inspect(context.Context, *connect.Request[peerpb.InspectRequest]) (*connect.Response[peerpb.InspectResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspost.peer.Jobs.Inspect is not implemented"))
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -16,6 +16,9 @@
 // returns an answer or a refusal, and neither passes the request on.
 type Answerer interface {
 	AnswerPeer(ctx context.Context, r *Request) (*structs.Answer, *failure.Failure)
+	// InspectPeer returns the state for operators in its JSON form, or nothing
+	// if it can't be had.
+	InspectPeer(ctx context.Context) []byte
 }
 
 // NewHandler returns the HTTP handler of an entry for other entries. Requests
@@ -44,3 +47,9 @@
 	}
 	return connect.NewResponse(responseToPB(response)), nil
 }
+
+// Inspect implements the generated service interface.
+func (s *service) Inspect(ctx context.Context, _ *connect.Request[peerpb.InspectRequest]) (*connect.Response[peerpb.InspectResponse], error) {
+	response := &peerpb.InspectResponse{Incarnation: uint64(s.self), View: s.answerer.InspectPeer(ctx)}
+	return connect.NewResponse(response), nil
+}
