--- a/internal/entryd/fake_test.go
+++ b/internal/entryd/fake_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -183,9 +184,12 @@
 	return a
 }
 
+// connections numbers the hellos, as an agent numbers its connections.
+var connections atomic.Uint64
+
 func hello() *structs.FromAgent {
 	return &structs.FromAgent{Hello: &structs.Hello{
-		Endpoint: "w1", Incarnation: 5, Pool: "coast", Slots: 8, Capacity: structs.Needs{Cores: 16, MemoryMB: 1024},
+		Endpoint: "w1", Incarnation: 5, Connection: connections.Add(1), Session: 1, Pool: "coast", Slots: 8, Capacity: structs.Needs{Cores: 16, MemoryMB: 1024},
 	}}
 }
 
