--- a/internal/api/answer.go
+++ b/internal/api/answer.go
@@ -48,7 +48,7 @@
 		Done:    answer.Done,
 	}
 	if answer.Failure != nil {
-		form.Failure = formOf(answer.Failure)
+		form.Failure = FormOf(answer.Failure)
 	}
 	return Encode(form)
 }
--- a/internal/api/failure.go
+++ b/internal/api/failure.go
@@ -77,7 +77,7 @@
 // EncodeFailure returns status, body and the value of RetryAfterHeader, which
 // is empty when a retry is of no use. Causes stay inside.
 func EncodeFailure(f *failure.Failure) (status int, body []byte, retryAfter string) {
-	body, err := Encode(FailureAnswer{Failure: formOf(f)})
+	body, err := Encode(FailureAnswer{Failure: FormOf(f)})
 	if err != nil {
 		body = []byte(`{"failure":{"kind":"internal","run":"unknown"}}`)
 	}
@@ -105,7 +105,8 @@
 	return failure.New(f.Kind, f.Run, f.Detail).WithRetry(max(0, f.RetryAfter.Duration()))
 }
 
-func formOf(f *failure.Failure) *FailureForm {
+// FormOf returns the form of a failure. Its cause stays inside.
+func FormOf(f *failure.Failure) *FailureForm {
 	return &FailureForm{Kind: f.Kind, Run: f.Run, Detail: f.Detail, RetryAfter: ceilMillis(f.RetryAfter)}
 }
 
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,167 @@
+// Package cli is the command line of callers and operators.
+//
+// It prints what the entries answer, as text or JSON, and turns failures into
+// exit codes for scripts. The commands for jobs use the callers' library; the
+// commands for operators send one HTTP request each.
+package cli
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"cactuspost.example/internal/failure"
+)
+
+// Names of the flags that every command knows.
+const (
+	entryFlag     = "entry"
+	tokenFileFlag = "token-file"
+	caFileFlag    = "ca-file"
+	outputFlag    = "output"
+	timeoutFlag   = "timeout"
+)
+
+// Environment variables. A token has no flag of its own, because others on the
+// machine can read the arguments of a process.
+const (
+	entriesVariable   = "CACTUSPOST_ENTRIES"
+	tokenVariable     = "CACTUSPOST_TOKEN"
+	tokenFileVariable = "CACTUSPOST_TOKEN_FILE"
+	caFileVariable    = "CACTUSPOST_CA_FILE"
+)
+
+// The values of the flag output.
+const (
+	textOutput = "text"
+	jsonOutput = "json"
+)
+
+const (
+	defaultEntry   = "http://127.0.0.1:7101"
+	defaultTimeout = 2 * time.Minute
+)
+
+// Commands returns the commands in the order of the help page.
+func Commands() []*cli.Command {
+	return []*cli.Command{
+		submitCommand(),
+		statusCommand(),
+		cancelCommand(),
+		endpointsCommand(),
+		drainCommand(),
+		applyCommand(),
+		notesCommand(),
+		reportCommand(),
+	}
+}
+
+// App returns the whole command line.
+func App() *cli.Command {
+	app := &cli.Command{
+		Name:        "cactuspost",
+		Usage:       "submit jobs of short tasks, and operate the dispatcher",
+		Description: rootDescription(),
+		Flags:       rootFlags(),
+		Commands:    Commands(),
+		Action:      refuseUnknownCommand,
+		// Without a handler of its own the library would end the process.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		OnUsageError:   usageError,
+	}
+	for _, command := range app.Commands {
+		command.OnUsageError = usageError
+	}
+	return app
+}
+
+// usageError replaces the library's answer to faulty flags, which is untyped
+// and prints the help page to the standard output.
+func usageError(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+	return failure.Wrap(err, failure.Invalid, failure.NotRun, "see "+cmd.FullName()+" --help")
+}
+
+func rootFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{
+			Name: entryFlag, Usage: "base `URL` of the balancer or of an entry; may stand several times",
+			Value: []string{defaultEntry}, Sources: cli.EnvVars(entriesVariable),
+		},
+		&cli.StringFlag{
+			Name: tokenFileFlag, Usage: "`FILE` with the token; the token itself may be in " + tokenVariable,
+			Sources: cli.EnvVars(tokenFileVariable),
+		},
+		&cli.StringFlag{
+			Name: caFileFlag, Usage: "PEM `FILE` with the certificates to trust for https; left out, those of the system",
+			Sources: cli.EnvVars(caFileVariable),
+		},
+		&cli.StringFlag{Name: outputFlag, Usage: "`FORM` of the answer: text or json", Value: textOutput},
+		&cli.DurationFlag{Name: timeoutFlag, Usage: "longest `TIME` to wait for the answer", Value: defaultTimeout},
+	}
+}
+
+func refuseUnknownCommand(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return usage("there is no command " + cmd.Args().First() + "; see cactuspost --help")
+	}
+	return cli.ShowAppHelp(cmd)
+}
+
+// Run carries out one command line, without the program's name, and returns
+// the exit code.
+func Run(ctx context.Context, args []string, in io.Reader, out, errOut io.Writer) int {
+	app := App()
+	app.Reader, app.Writer, app.ErrWriter = in, out, errOut
+	err := app.Run(ctx, append([]string{app.Name}, args...))
+	return report(err, out, errOut, wantsJSON(app))
+}
+
+func wantsJSON(cmd *cli.Command) bool { return cmd.String(outputFlag) == jsonOutput }
+
+// usage returns a failure of a command line that makes no sense.
+func usage(detail string) *failure.Failure {
+	return failure.New(failure.Invalid, failure.NotRun, detail)
+}
+
+// setup checks the flags that every command knows, and bounds the context.
+func setup(ctx context.Context, cmd *cli.Command) (context.Context, context.CancelFunc, error) {
+	form := cmd.String(outputFlag)
+	if form != textOutput && form != jsonOutput {
+		return nil, nil, usage("--output is not text or json")
+	}
+	limit := cmd.Duration(timeoutFlag)
+	if limit <= 0 {
+		return nil, nil, usage("--timeout is not above zero")
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	return ctx, cancel, nil
+}
+
+// action is a command's work under checked flags.
+type action func(ctx context.Context, cmd *cli.Command) error
+
+func (a action) run(ctx context.Context, cmd *cli.Command) error {
+	ctx, cancel, err := setup(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	return a(ctx, cmd)
+}
+
+// oneArgument returns the command's only argument.
+func oneArgument(cmd *cli.Command, what string) (string, error) {
+	if cmd.Args().Len() != 1 {
+		return "", usage(cmd.Name + " takes one argument: " + what)
+	}
+	return cmd.Args().First(), nil
+}
+
+func noArgument(cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return usage(cmd.Name + " takes no argument")
+	}
+	return nil
+}
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -26,7 +26,9 @@
 	HTTPAddress string
 	// UnackedLimit bounds the results kept until an entry acknowledges them.
 	UnackedLimit int
-	LogLevel     event.Severity
+	// Operators may ask for the planned stop over HTTP.
+	Operators []Operator
+	LogLevel  event.Severity
 }
 
 // Bounds and defaults of the agent's settings.
@@ -41,7 +43,8 @@
 	defaultUnackedLimit = 4_096
 )
 
-func readAgent(o *object) *Agent {
+func readAgent(o *object, files fileReader) *Agent {
+	tokens := tokenReader{files: files, seen: map[string]string{}}
 	a := &Agent{
 		Endpoint:        o.text("endpoint", nameRule),
 		DataCentre:      o.text("data_centre", placeRule),
@@ -53,6 +56,7 @@
 		Entries:         o.texts("entries", reachableRule),
 		HTTPAddress:     o.text("http_address", listenRule),
 		UnackedLimit:    int(o.integerOr("unacked_limit", defaultUnackedLimit, minUnacked, maxUnacked)),
+		Operators:       tokens.operators(o),
 		LogLevel:        readLevel(o),
 	}
 	if a.Connections > 0 && a.Connections < a.Slots {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,13 +27,15 @@
 	return e, nil
 }
 
-// LoadAgent checks the text of an agent's settings file. It returns a Faults
-// error that lists every fault.
-func LoadAgent(raw []byte) (*Agent, error) {
+// LoadAgent checks the text of an agent's settings file and the files that it
+// names. It returns a Faults error that lists every fault.
+func LoadAgent(raw []byte) (*Agent, error) { return loadAgent(raw, os.ReadFile) }
+
+func loadAgent(raw []byte, files fileReader) (*Agent, error) {
 	doc, root := parseDocument(raw)
 	var a *Agent
 	if root != nil {
-		a = readAgent(root)
+		a = readAgent(root, files)
 	}
 	if len(doc.faults) > 0 {
 		return nil, errors.WithStack(doc.sorted())
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -143,7 +143,7 @@
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		e, err := loadEntry(raw, absent)
 		checkLoaded(t, e != nil, err)
-		a, err := LoadAgent(raw)
+		a, err := loadAgent(raw, absent)
 		checkLoaded(t, a != nil, err)
 	})
 }
