--- a/cactuspost/client_test.go
+++ b/cactuspost/client_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/api/apitest"
 	"cactuspost.example/internal/failure"
 	"cactuspost.example/internal/structs"
 )
@@ -163,11 +163,8 @@
 
 func TestNothingSentIsNotRun(t *testing.T) {
 	is := is.New(t)
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	is.NoErr(err)
-	is.NoErr(listener.Close()) // nobody listens there now
-	c, _ := newTestClient(t, &fakeEntry{url: "http://" + listener.Addr().String()})
-	_, err = c.Submit(context.Background(), testTicket(), testJob)
+	c, _ := newTestClient(t, &fakeEntry{url: apitest.ClosedURL()})
+	_, err := c.Submit(context.Background(), testTicket(), testJob)
 	is.Equal(FailureOf(err).Kind, Unavailable)
 	is.Equal(FailureOf(err).Run, NotRun)
 }
--- a/cactuspost/example_test.go
+++ b/cactuspost/example_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"strings"
 	"time"
 
@@ -11,25 +10,15 @@
 
 	"cactuspost.example/cactuspost"
 	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/api/apitest"
 	"cactuspost.example/internal/failure"
 	"cactuspost.example/internal/structs"
 )
 
-// startEntry serves a stand-in for an entry on a loopback address. It answers
-// each task with its payload in capitals, and refuses the service "closed".
-func startEntry() (url string, stop func()) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	server := &fasthttp.Server{Handler: serve}
-	done := make(chan struct{})
-	go func() { defer close(done); _ = server.Serve(listener) }()
-	return "http://" + listener.Addr().String(), func() { _ = listener.Close(); <-done }
-}
-
 var issued = structs.JobID{Owner: 7, Seq: 1, Expiry: time.Date(2100, 1, 1, 0, 0, 0, 0, time.UTC).UnixMilli()}
 
+// serve is a stand-in for an entry: it answers each task with its payload in
+// capitals, and refuses the service "closed".
 func serve(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) == api.JobsPath {
 		body, _ := api.Encode(api.CreateAnswer{IDs: []string{issued.String()}, Lifetime: 60_000})
@@ -42,9 +31,7 @@
 		err = failure.New(failure.UnknownService, failure.NotRun, "no such service")
 	}
 	if err != nil {
-		status, body, _ := api.EncodeFailure(failure.Of(err))
-		ctx.SetStatusCode(status)
-		ctx.SetBody(body)
+		apitest.Refuse(ctx, failure.Of(err))
 		return
 	}
 	answer := structs.Answer{ID: issued, State: structs.JobComplete}
@@ -56,7 +43,7 @@
 }
 
 func Example() {
-	url, stop := startEntry()
+	url, stop := apitest.Serve(serve)
 	defer stop()
 	client, err := cactuspost.New(cactuspost.Config{Entries: []string{url}, Token: "SAMPLE-rivage-token-0001"})
 	if err != nil {
@@ -94,7 +81,7 @@
 }
 
 func ExampleFailureOf() {
-	url, stop := startEntry()
+	url, stop := apitest.Serve(serve)
 	defer stop()
 	client, err := cactuspost.New(cactuspost.Config{Entries: []string{url}, Token: "SAMPLE-rivage-token-0001"})
 	if err != nil {
--- a/cactuspost/fake_test.go
+++ b/cactuspost/fake_test.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/api/apitest"
 	"cactuspost.example/internal/failure"
 	"cactuspost.example/internal/structs"
 )
@@ -36,15 +37,10 @@
 
 func startFake(t testing.TB, script ...reply) *fakeEntry {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	f := &fakeEntry{url: "http://" + listener.Addr().String(), script: script}
-	server := &fasthttp.Server{Handler: f.handle}
-	done := make(chan struct{})
-	go func() { defer close(done); _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = listener.Close(); <-done })
+	f := &fakeEntry{script: script}
+	url, stop := apitest.Serve(f.handle)
+	t.Cleanup(stop)
+	f.url = url
 	return f
 }
 
@@ -65,10 +61,7 @@
 		ctx.HijackSetNoResponse(true)
 		ctx.Hijack(func(net.Conn) {})
 	case next.refusal != nil:
-		status, body, retryAfter := api.EncodeFailure(next.refusal)
-		ctx.Response.Header.Set(api.RetryAfterHeader, retryAfter)
-		ctx.SetStatusCode(status)
-		ctx.SetBody(body)
+		apitest.Refuse(ctx, next.refusal)
 	default:
 		ctx.SetStatusCode(next.status)
 		ctx.SetBodyString(next.body)
--- a/cactuspost/perform.go
+++ b/cactuspost/perform.go
@@ -69,7 +69,7 @@
 		return callEvents.Expired
 	}
 	state.sent(now)
-	response, err := c.http.Exchange(ctx, c.compose(state, r, now))
+	response, err := c.http.Exchange(ctx, c.compose(ctx, state, r, now))
 	if err != nil {
 		state.reject(failure.Of(err))
 		return c.brokenOrStopped(ctx, state)
@@ -98,9 +98,9 @@
 	return callEvents.Stopped
 }
 
-func (c *Client) compose(state *call, r request, now time.Time) httpclient.Request {
+func (c *Client) compose(ctx context.Context, state *call, r request, now time.Time) httpclient.Request {
 	method, path, body := r.compose()
-	wait := pollWait(state, r, now)
+	wait := pollWait(ctx, state, r, now)
 	url := c.entries[state.entry] + path
 	if wait > 0 {
 		url += "?" + api.WaitParameter + "=" + api.FormatWait(wait)
@@ -119,10 +119,14 @@
 	return request
 }
 
-// pollWait ends no later than the call.
-func pollWait(state *call, r request, now time.Time) time.Duration {
+// pollWait ends no later than the call and its context.
+func pollWait(ctx context.Context, state *call, r request, now time.Time) time.Duration {
 	if !r.waits() {
 		return 0
 	}
-	return max(0, min(longestPoll, state.deadline.Sub(now)))
+	wait := min(longestPoll, state.deadline.Sub(now))
+	if end, ok := ctx.Deadline(); ok {
+		wait = min(wait, end.Sub(now))
+	}
+	return max(0, wait)
 }
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -36,6 +38,15 @@
 	}
 }
 
+func TestPageHasTheTableOfStatuses(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/http.md")
+	is.NoErr(err)
+	for kind, status := range statuses {
+		is.True(strings.Contains(string(page), fmt.Sprintf("| `%s` | %d | ", kind, status)))
+	}
+}
+
 func TestFailureWithoutABodyNeverSaysNotRun(t *testing.T) {
 	is := is.New(t)
 	for status := http.StatusContinue; status < 600; status++ {
--- /dev/null
+++ b/internal/api/apitest/apitest.go
@@ -0,0 +1,64 @@
+// Package apitest serves the HTTP interface on loopback addresses, for tests of
+// its clients.
+package apitest
+
+import (
+	"net"
+
+	"github.com/valyala/fasthttp"
+
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/failure"
+)
+
+// Serve answers requests until stop is called, which waits for the server's
+// end. It panics when no loopback address can be had.
+func Serve(handler fasthttp.RequestHandler) (url string, stop func()) {
+	listener := listen()
+	server := &fasthttp.Server{Handler: handler}
+	return "http://" + listener.Addr().String(), run(listener, server.Serve)
+}
+
+// ServeTLS is Serve over HTTPS with a PEM certificate and its key.
+func ServeTLS(handler fasthttp.RequestHandler, cert, key []byte) (url string, stop func()) {
+	listener := listen()
+	server := &fasthttp.Server{Handler: handler}
+	return "https://" + listener.Addr().String(), run(listener, func(l net.Listener) error {
+		return server.ServeTLSEmbed(l, cert, key)
+	})
+}
+
+// ClosedURL returns a base URL at which nobody listens.
+func ClosedURL() string {
+	listener := listen()
+	defer listener.Close()
+	return "http://" + listener.Addr().String()
+}
+
+// Refuse answers a request with a failure.
+func Refuse(ctx *fasthttp.RequestCtx, f *failure.Failure) {
+	status, body, retryAfter := api.EncodeFailure(f)
+	if retryAfter != "" {
+		ctx.Response.Header.Set(api.RetryAfterHeader, retryAfter)
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetBody(body)
+}
+
+func listen() net.Listener {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	return listener
+}
+
+// run serves in a goroutine that owns the listener's connections.
+func run(listener net.Listener, serve func(net.Listener) error) (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = serve(listener)
+	}()
+	return func() { _ = listener.Close(); <-done }
+}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -16,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/api/apitest"
 	"cactuspost.example/internal/api/operator"
 	"cactuspost.example/internal/dispatch"
 	"cactuspost.example/internal/failure"
@@ -37,15 +37,10 @@
 
 func startFake(t testing.TB, answers map[string]fakeAnswer) *fakeEntry {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	f := &fakeEntry{url: "http://" + listener.Addr().String(), answers: answers}
-	server := &fasthttp.Server{Handler: f.handle}
-	done := make(chan struct{})
-	go func() { defer close(done); _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = listener.Close(); <-done })
+	f := &fakeEntry{answers: answers}
+	url, stop := apitest.Serve(f.handle)
+	t.Cleanup(stop)
+	f.url = url
 	return f
 }
 
@@ -57,10 +52,7 @@
 		string(ctx.Request.Header.Peek("Authorization")), string(ctx.PostBody())}, "|"))
 	answer := f.answers[key]
 	if answer.refusal != nil {
-		status, body, retryAfter := api.EncodeFailure(answer.refusal)
-		ctx.Response.Header.Set(api.RetryAfterHeader, retryAfter)
-		ctx.SetStatusCode(status)
-		ctx.SetBody(body)
+		apitest.Refuse(ctx, answer.refusal)
 		return
 	}
 	ctx.SetBody(answer.body)
@@ -233,7 +225,7 @@
 	}}
 	fake := startFake(t, map[string]fakeAnswer{"GET /v1/endpoints": {body: encode(t, api.Encode, any(answer))}})
 	// The first base URL can't be reached, so nothing is sent there.
-	code, out, _ := fake.run(t, "", "--entry", closedURL(t), "--entry", fake.url, "endpoints")
+	code, out, _ := fake.run(t, "", "--entry", apitest.ClosedURL(), "--entry", fake.url, "endpoints")
 	is.Equal(code, ExitOK)
 	lines := strings.Split(strings.TrimSpace(out), "\n")
 	is.Equal(len(lines), 4)
@@ -242,17 +234,6 @@
 	is.True(strings.Contains(lines[3], "none"))
 }
 
-// closedURL returns an address at which nobody listens.
-func closedURL(t testing.TB) string {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return "http://" + listener.Addr().String()
-}
-
 func TestHelpHasExamplesAndExitCodes(t *testing.T) {
 	is := is.New(t)
 	fake := startFake(t, nil)
--- /dev/null
+++ b/internal/httpclient/httpclient_test.go
@@ -0,0 +1,69 @@
+package httpclient
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"cactuspost.example/internal/api/apitest"
+	"cactuspost.example/internal/failure"
+)
+
+// certificate makes a certificate for 127.0.0.1, PEM each.
+func certificate(t *testing.T) (cert, key []byte) {
+	is := is.New(t)
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &private.PublicKey, private)
+	is.NoErr(err)
+	keyDER, err := x509.MarshalPKCS8PrivateKey(private)
+	is.NoErr(err)
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER})
+}
+
+func TestExchangeOverHTTPSTrustsOnlyKnownCertificates(t *testing.T) {
+	is := is.New(t)
+	cert, key := certificate(t)
+	url, stop := apitest.ServeTLS(func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("hello") }, cert, key)
+	defer stop()
+	pool := x509.NewCertPool()
+	is.True(pool.AppendCertsFromPEM(cert))
+	request := Request{Method: http.MethodGet, URL: url, Timeout: time.Minute}
+	trusting := New(&tls.Config{RootCAs: pool})
+	defer trusting.Close()
+	response, err := trusting.Exchange(context.Background(), request)
+	is.NoErr(err)
+	is.Equal(string(response.Body), "hello")
+	_, err = New(nil).Exchange(context.Background(), request)
+	is.Equal(failure.Of(err).Kind, failure.Unavailable)
+}
+
+func TestContextEndsAnExchange(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	release := make(chan struct{})
+	url, stop := apitest.Serve(func(*fasthttp.RequestCtx) { cancel(); <-release })
+	defer stop()
+	defer close(release)
+	client := New(nil)
+	request := Request{Method: http.MethodPost, URL: url, Timeout: time.Minute}
+	_, err := client.Exchange(ctx, request) // the request has arrived
+	is.True(errors.Is(err, context.Canceled))
+	is.Equal(failure.Of(err).Run, failure.Unknown)
+	_, err = client.Exchange(ctx, request) // nothing is sent
+	is.Equal(failure.Of(err).Run, failure.NotRun)
+}
