--- a/cactuspost/client_test.go
+++ b/cactuspost/client_test.go
@@ -67,6 +67,9 @@
 	c, _ = newTestClient(t, startFake(t, refused(NeverRuns, NotRun, 0)))
 	_, err = c.Resubmit(context.Background(), testID.String(), testJob)
 	is.Equal(FailureOf(err).Run, Unknown) // an earlier submission may be under way
+	c, _ = newTestClient(t, startFake(t, refused(Forbidden, NotRun, 0)))
+	_, err = c.Await(context.Background(), testID.String())
+	is.Equal(FailureOf(err).Run, Unknown) // the question was refused, which says nothing of the job
 }
 
 func TestFinalFailureKeepsItsOutcome(t *testing.T) {
@@ -81,7 +84,7 @@
 
 func TestForeignAndShortAnswersAreNotTaken(t *testing.T) {
 	is := is.New(t)
-	foreign := complete(t, "r")
+	foreign := complete(t, "of another job")
 	foreign.body = strings.Replace(foreign.body, testID.String(), "0000000000000008-1-1", 1)
 	c, _ := newTestClient(t, startFake(t, foreign, complete(t), complete(t, "one", "two"), complete(t, "r")))
 	answer, err := c.Submit(context.Background(), testTicket(), testJob)
@@ -104,6 +107,16 @@
 	is.Equal(len(second.requests()), 2)
 }
 
+func TestOwnersRefusalIsNotTakenElsewhere(t *testing.T) {
+	is := is.New(t)
+	first := startFake(t, refused(Overloaded, NotRun, time.Second), refused(QuotaExceeded, NotRun, time.Second), complete(t, "r"))
+	second := startFake(t)
+	c, _ := newTestClient(t, first, second)
+	_, err := c.Submit(context.Background(), testTicket(), testJob)
+	is.NoErr(err)
+	is.Equal(len(second.requests()), 0)
+}
+
 func TestRetriesEndWithTheLifetime(t *testing.T) {
 	is := is.New(t)
 	script := make([]reply, maxAttempts)
--- a/cactuspost/fake_test.go
+++ b/cactuspost/fake_test.go
@@ -1,7 +1,6 @@
 package cactuspost
 
 import (
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -58,8 +57,7 @@
 	f.script = f.script[1:]
 	switch {
 	case next.cut:
-		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(func(net.Conn) {})
+		apitest.Cut(ctx)
 	case next.refusal != nil:
 		apitest.Refuse(ctx, next.refusal)
 	default:
--- a/internal/api/apitest/apitest.go
+++ b/internal/api/apitest/apitest.go
@@ -45,6 +45,12 @@
 	ctx.SetBody(body)
 }
 
+// Cut closes the connection of a request that has arrived, without an answer.
+func Cut(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(net.Conn) {})
+}
+
 func listen() net.Listener {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -33,6 +33,8 @@
 type fakeAnswer struct {
 	body    []byte
 	refusal *failure.Failure
+	// cut closes the connection without an answer.
+	cut bool
 }
 
 func startFake(t testing.TB, answers map[string]fakeAnswer) *fakeEntry {
@@ -51,6 +53,10 @@
 	f.seen = append(f.seen, strings.Join([]string{key, string(ctx.QueryArgs().QueryString()), string(ctx.Request.Header.Peek("Accept")),
 		string(ctx.Request.Header.Peek("Authorization")), string(ctx.PostBody())}, "|"))
 	answer := f.answers[key]
+	if answer.cut {
+		apitest.Cut(ctx)
+		return
+	}
 	if answer.refusal != nil {
 		apitest.Refuse(ctx, answer.refusal)
 		return
@@ -234,6 +240,16 @@
 	is.True(strings.Contains(lines[3], "none"))
 }
 
+func TestNoteWithoutAnswerGoesToNoOtherEntry(t *testing.T) {
+	is := is.New(t)
+	first := startFake(t, map[string]fakeAnswer{"POST /v1/notes": {cut: true}})
+	second := startFake(t, nil)
+	code, _, _ := first.run(t, "{note}", "--entry", first.url, "--entry", second.url, "apply", "-")
+	is.Equal(code, ExitUnavailable)
+	is.Equal(len(first.requests()), 1)
+	is.Equal(len(second.requests()), 0)
+}
+
 func TestHelpHasExamplesAndExitCodes(t *testing.T) {
 	is := is.New(t)
 	fake := startFake(t, nil)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -112,6 +112,17 @@
 	is.True(e.Callers[0].Token.Matches("from-a-file-0123456789"))
 }
 
+func TestCertificateIsCheckedBeforeListening(t *testing.T) {
+	is := is.New(t)
+	const setting = `"tls": {"cert_file": "cert.pem", "key_file": "key.pem"},`
+	text := strings.Replace(string(sample(t, "entry2.jsonc")), `"operators"`, setting+` "operators"`, 1)
+	_, err := loadEntry([]byte(text), func(string) ([]byte, error) { return []byte("no PEM"), nil })
+	var faults Faults
+	is.True(errors.As(err, &faults))
+	is.Equal(len(faults), 1)
+	is.Equal(faults[0].Key, "tls.cert_file")
+}
+
 func TestSecretIsRedactedEverywhere(t *testing.T) {
 	is := is.New(t)
 	secret := NewSecret("hidden")
