--- a/internal/agentd/connection.go
+++ b/internal/agentd/connection.go
@@ -31,8 +31,8 @@
 	cancelDial context.CancelFunc
 	lastHeard  time.Time
 	lastSent   time.Time
-	// frame is the encoded message that the event send is about.
-	frame []byte
+	// frames is the encoded message that the event send is about.
+	frames []byte
 	// queued are the bytes after those under way.
 	queued []byte
 	// writes counts the writes; reports on earlier ones are out of date.
@@ -96,16 +96,16 @@
 // send encodes and writes one message. A message that can't be encoded would
 // be missing on the link, so the link is closed.
 func (c *connection) send(now time.Time, m *structs.FromAgent) {
-	frame, err := wire.AppendFromAgent(nil, m)
+	frames, err := encode(m)
 	if err != nil {
 		c.owner.log.Event(event.MessageNotEncoded, zap.String("entry", c.address), zap.Error(err))
 		c.fire(connectionEvents.Close)
 		return
 	}
-	c.frame = frame
+	c.frames = frames
 	c.lastSent = now
 	c.fire(connectionEvents.Send)
-	c.frame = nil
+	c.frames = nil
 }
 
 // written takes the report on the write that is under way.
@@ -142,14 +142,14 @@
 }
 
 func (c *connection) hasRoom() bool {
-	return c.underWay+len(c.queued)+len(c.frame) <= outboundLimit
+	return c.underWay+len(c.queued)+len(c.frames) <= outboundLimit
 }
 
 func (c *connection) allWritten() bool { return c.underWay == 0 && len(c.queued) == 0 }
 
 func (c *connection) adopt() { c.owner.counters.linksOpened.Inc() }
 
-func (c *connection) queue() { c.queued = append(c.queued, c.frame...) }
+func (c *connection) queue() { c.queued = append(c.queued, c.frames...) }
 
 // write starts the next write, unless one is under way.
 func (c *connection) write() {
--- a/internal/agentd/exchange.go
+++ b/internal/agentd/exchange.go
@@ -118,21 +118,24 @@
 // connect checks the connection at hand or opens one. Nothing is sent, so a
 // stale connection is replaced without risk.
 func (e *exchange) connect(ctx context.Context) chart.Event {
+	if ctx.Err() != nil {
+		return exchangeEvents.Cut
+	}
 	if e.connection != nil && e.connection.clean() {
 		return exchangeEvents.Connected
 	}
 	e.dropConnection()
 	dialer := net.Dialer{Timeout: endpointDialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", e.endpoint)
+	if err == nil {
+		e.connection = newEndpointConnection(conn)
+		return exchangeEvents.Connected
+	}
+	e.err = err
 	if ctx.Err() != nil {
 		return exchangeEvents.Cut
 	}
-	if err != nil {
-		e.err = err
-		return exchangeEvents.Unreachable
-	}
-	e.connection = newEndpointConnection(conn)
-	return exchangeEvents.Connected
+	return exchangeEvents.Unreachable
 }
 
 // converse sends the request and reads the answer.
--- a/internal/agentd/http.go
+++ b/internal/agentd/http.go
@@ -1,6 +1,7 @@
 package agentd
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"time"
@@ -29,6 +30,10 @@
 	statusTimeout = time.Second
 	// httpIdleTimeout ends connections of operators that are not used.
 	httpIdleTimeout = 10 * time.Second
+	// httpWriteTimeout bounds the writing of an answer.
+	httpWriteTimeout = 5 * time.Second
+	// httpStopTimeout bounds the wait for requests in progress at the end.
+	httpStopTimeout = 2 * time.Second
 	// maxRequestBytes bounds an operator's request.
 	maxRequestBytes = 16 << 10
 )
@@ -54,6 +59,7 @@
 		Name:               "cactuspost-agent",
 		IdleTimeout:        httpIdleTimeout,
 		ReadTimeout:        httpIdleTimeout,
+		WriteTimeout:       httpWriteTimeout,
 		MaxRequestBodySize: maxRequestBytes,
 		CloseOnShutdown:    true,
 	}
@@ -66,7 +72,9 @@
 
 // stop ends the interface after the requests in progress.
 func (s *httpServer) stop() {
-	_ = s.server.Shutdown()
+	ctx, cancel := context.WithTimeout(context.Background(), httpStopTimeout)
+	defer cancel()
+	_ = s.server.ShutdownWithContext(ctx)
 	_ = s.listener.Close()
 }
 
--- a/internal/agentd/links_test.go
+++ b/internal/agentd/links_test.go
@@ -112,3 +112,31 @@
 	}
 	is.Equal((<-seen).message, &agent.LinkClosed{Link: 1})
 }
+
+func TestManyLargeResultsAreSplit(t *testing.T) {
+	is := is.New(t)
+	l, seen := startLinks(t)
+	listener := listen(t)
+	l.inbox.Send(&dialLink{link: 1, address: listener.Addr().String()})
+	e := accept(t, listener)
+	is.Equal((<-seen).message, &agent.LinkOpened{Link: 1})
+	m := &structs.FromAgent{Hello: &structs.Hello{Endpoint: "w1"}, Refusals: []structs.Refusal{{}}, Revision: 3}
+	const results = 20
+	for i := range uint32(results) {
+		m.Results = append(m.Results, structs.Result{Grant: structs.GrantID{Task: i}, Payload: make([]byte, maxAnswerBytes)})
+	}
+	l.inbox.Send(&sendMessage{link: 1, message: m})
+	first := e.receive()
+	is.Equal(first.Hello, m.Hello)
+	got := first.Results
+	last := first
+	for len(got) < results {
+		is.Equal(len(last.Refusals), 0) // handled after the results
+		last = e.receive()
+		is.Equal(last.Hello, nil)
+		got = append(got, last.Results...)
+	}
+	is.Equal(got, m.Results)
+	is.Equal(last.Refusals, m.Refusals)
+	is.Equal(last.Revision, m.Revision)
+}
