--- /dev/null
+++ b/internal/entryd/fake_test.go
@@ -0,0 +1,276 @@
+package entryd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/dispatch"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/logging"
+	"cactuspost.example/internal/settings"
+	"cactuspost.example/internal/structs"
+	"cactuspost.example/internal/wire"
+)
+
+const (
+	callerToken   = "caller-token"
+	otherToken    = "other-token"
+	operatorToken = "operator-token"
+	testService   = "recession"
+)
+
+// fakeCore hands each message to step, which returns its effects.
+type fakeCore struct {
+	step    func(m dispatch.Message) []dispatch.Effect
+	effects []dispatch.Effect
+}
+
+func (f *fakeCore) Tick(time.Time)  {}
+func (f *fakeCore) Flush(time.Time) {}
+
+func (f *fakeCore) Step(_ time.Time, m dispatch.Message) {
+	f.effects = append(f.effects, f.step(m)...)
+}
+
+func (f *fakeCore) Effects() []dispatch.Effect {
+	effects := f.effects
+	f.effects = nil
+	return effects
+}
+
+// startFake runs an entry whose dispatcher is a function.
+func startFake(t *testing.T, step func(m dispatch.Message) []dispatch.Effect) *Daemon {
+	t.Helper()
+	config := testConfig()
+	config.NewCore = func(structs.Peer, uint64) Core { return &fakeCore{step: step} }
+	return start(t, config)
+}
+
+// refuser refuses every request with the failure that it holds.
+func refuser(f *failure.Failure) func(m dispatch.Message) []dispatch.Effect {
+	return func(m dispatch.Message) []dispatch.Effect {
+		reply := replyOf(m)
+		if reply == 0 {
+			return nil
+		}
+		return []dispatch.Effect{&dispatch.Refused{Reply: reply, Failure: f}}
+	}
+}
+
+func replyOf(m dispatch.Message) dispatch.ReplyID {
+	switch m := m.(type) {
+	case *dispatch.CreateJobs:
+		return m.Reply
+	case *dispatch.SubmitJob:
+		return m.Reply
+	case *dispatch.AwaitJob:
+		return m.Reply
+	case *dispatch.CancelJob:
+		return m.Reply
+	case *dispatch.Inspect:
+		return m.Reply
+	}
+	return 0
+}
+
+// testConfig returns a configuration on free loopback ports.
+func testConfig() Config {
+	return Config{
+		HTTPAddress: "127.0.0.1:0", LinkAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+		Document: &structs.Document{
+			Revision: 1,
+			Services: map[string]structs.Service{testService: {
+				Pool: "coast", StartObjective: 60_000, Lifetime: 60_000, TaskLimit: 60_000, MaxTasks: 10, MaxTaskBytes: 100,
+			}},
+			Teams: map[string]structs.Team{
+				"rivage": {Quotas: map[string]float64{testService: 1}},
+				"other":  {Quotas: map[string]float64{testService: 1}},
+			},
+		},
+		Limits:    settings.Limits{MaxBody: 1 << 20, MaxConnections: 100, HeaderTimeout: time.Minute},
+		Callers:   []settings.Caller{{Team: "rivage", Token: settings.NewSecret(callerToken)}, {Team: "other", Token: settings.NewSecret(otherToken)}},
+		Operators: []settings.Operator{{Name: "op", Token: settings.NewSecret(operatorToken)}},
+		Heartbeat: time.Hour,
+	}
+}
+
+// start runs an entry for one test.
+func start(t *testing.T, config Config) *Daemon {
+	t.Helper()
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	d, err := Start(ctx, config)
+	is.NoErr(err)
+	t.Cleanup(func() {
+		cancel()
+		d.Wait()
+	})
+	return d
+}
+
+// reply is an HTTP answer that was read to its end.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (r *reply) job(is *is.I) *api.JobAnswer {
+	is.Helper()
+	is.Equal(r.status, http.StatusOK)
+	answer, err := api.DecodeAnswer(r.body)
+	is.NoErr(err)
+	return answer
+}
+
+func (r *reply) failure(is *is.I) *api.FailureForm {
+	is.Helper()
+	var answer api.FailureAnswer
+	is.NoErr(json.Unmarshal(r.body, &answer))
+	is.True(answer.Failure != nil)
+	return answer.Failure
+}
+
+// send makes one HTTP request on a connection of its own.
+func send(d *Daemon, method, path, token, body string) (*reply, error) {
+	request, err := http.NewRequest(method, "http://"+d.Self().HTTPAddress+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return nil, err
+	}
+	if token != "" {
+		request.Header.Set("Authorization", api.Authorization(token))
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	return &reply{status: response.StatusCode, header: response.Header, body: raw}, err
+}
+
+func mustSend(is *is.I, d *Daemon, method, path, token, body string) *reply {
+	is.Helper()
+	r, err := send(d, method, path, token, body)
+	is.NoErr(err)
+	return r
+}
+
+// rawAgent is an agent's connection in the hands of a test.
+type rawAgent struct {
+	net.Conn
+	is *is.I
+}
+
+func dial(t *testing.T, d *Daemon) *rawAgent {
+	t.Helper()
+	a := &rawAgent{is: is.NewRelaxed(t)} // agents may run in goroutines of their own
+	conn, err := net.Dial("tcp", d.Self().LinkAddress)
+	a.is.NoErr(err)
+	a.Conn = conn
+	t.Cleanup(func() { _ = conn.Close() })
+	return a
+}
+
+func hello() *structs.FromAgent {
+	return &structs.FromAgent{Hello: &structs.Hello{
+		Endpoint: "w1", Incarnation: 5, Pool: "coast", Slots: 8, Capacity: structs.Needs{Cores: 16, MemoryMB: 1024},
+	}}
+}
+
+// greet opens a link and offers eight slots.
+func greet(t *testing.T, d *Daemon) *rawAgent {
+	t.Helper()
+	a := dial(t, d)
+	a.send(hello())
+	a.is.True(a.receive().Welcome != nil)
+	a.send(&structs.FromAgent{Offered: structs.Credits{Any: 8}, Revision: 1})
+	return a
+}
+
+func (a *rawAgent) send(m *structs.FromAgent) {
+	a.is.Helper()
+	frame, err := wire.AppendFromAgent(nil, m)
+	a.is.NoErr(err)
+	_, err = a.Write(frame)
+	a.is.NoErr(err)
+}
+
+func (a *rawAgent) receive() *structs.FromEntry {
+	a.is.Helper()
+	header := make([]byte, wire.HeaderBytes)
+	_, err := io.ReadFull(a, header)
+	a.is.NoErr(err)
+	size, err := wire.FrameLength(header)
+	a.is.NoErr(err)
+	body := make([]byte, size)
+	_, err = io.ReadFull(a, body)
+	a.is.NoErr(err)
+	m, err := wire.DecodeFromEntry(body)
+	a.is.NoErr(err)
+	return m
+}
+
+// closed waits for the entry to end the connection.
+func (a *rawAgent) closed() {
+	a.is.Helper()
+	_, err := io.Copy(io.Discard, a)
+	if err != nil {
+		_, isNet := err.(net.Error)
+		a.is.True(isNet) // a reset is an end too
+	}
+}
+
+// grant waits for a task.
+func (a *rawAgent) grant() structs.Grant {
+	a.is.Helper()
+	for {
+		if m := a.receive(); len(m.Grants) > 0 {
+			return m.Grants[0]
+		}
+	}
+}
+
+// finish reports a task's result.
+func (a *rawAgent) finish(g structs.Grant, result string) {
+	a.is.Helper()
+	a.send(&structs.FromAgent{Results: []structs.Result{{Grant: g.ID, Payload: []byte(result)}}})
+}
+
+// eventWatch collects the numbers of logged events.
+type eventWatch struct{ ids chan event.ID }
+
+func watchEvents() (*eventWatch, *logging.Logger) {
+	w := &eventWatch{ids: make(chan event.ID, 1024)}
+	return w, logging.New(w, event.Info)
+}
+
+// Write takes one line of the log.
+func (w *eventWatch) Write(line []byte) (int, error) {
+	var form struct{ Event event.ID }
+	if err := json.Unmarshal(line, &form); err != nil {
+		return 0, err
+	}
+	w.ids <- form.Event
+	return len(line), nil
+}
+
+// await waits for an event, whatever comes before it.
+func (w *eventWatch) await(id event.ID) {
+	for got := range w.ids {
+		if got == id {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/entryd/shutdown.go
@@ -0,0 +1,156 @@
+package entryd
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cactuspost.example/charts"
+	"cactuspost.example/internal/actor"
+	"cactuspost.example/internal/chart"
+	"cactuspost.example/internal/dispatch"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/logging"
+)
+
+// shutdownInboxSize has room for every event of the chart.
+const shutdownInboxSize = 16
+
+// shutdownPeriod is how often the actor wakes when nothing arrives.
+const shutdownPeriod = time.Second
+
+// shutdown is the actor that leads the planned stop through the chart shutdown.
+// What waits runs in goroutines of its own and reports back as an event.
+type shutdown struct {
+	parts   *parts
+	log     *logging.Logger
+	inbox   *actor.Inbox[chart.Event]
+	settle  time.Duration
+	timeout time.Duration
+	state   chart.State
+	// bound ends when the planned stop is overdue.
+	bound  context.Context
+	cancel context.CancelFunc
+}
+
+var shutdownChart = chart.MustCompile(charts.Files, "shutdown", chart.Bindings[*shutdown]{
+	Actions: map[string]func(*shutdown){
+		"drop_readiness": (*shutdown).dropReadiness,
+		"start_settling": (*shutdown).startSettling,
+		"start_draining": (*shutdown).startDraining,
+		"report_drained": (*shutdown).reportDrained,
+		"report_overdue": (*shutdown).reportOverdue,
+		"close_callers":  (*shutdown).closeCallers,
+		"close_peers":    (*shutdown).closePeers,
+		"close_links":    (*shutdown).closeLinks,
+		"end":            (*shutdown).end,
+	},
+})
+
+var shutdownEvents struct {
+	Stop        chart.Event `chart:"stop"`
+	Settled     chart.Event `chart:"settled"`
+	Drained     chart.Event `chart:"drained"`
+	Overdue     chart.Event `chart:"overdue"`
+	CallersDone chart.Event `chart:"callers_done"`
+	PeersDone   chart.Event `chart:"peers_done"`
+	LinksDone   chart.Event `chart:"links_done"`
+}
+
+func init() { shutdownChart.MustNames(&shutdownEvents) }
+
+func newShutdown(ctx context.Context, parts *parts, config *Config) *shutdown {
+	s := &shutdown{
+		parts:   parts,
+		log:     config.Log,
+		inbox:   actor.NewInbox[chart.Event](shutdownInboxSize),
+		settle:  config.Settle,
+		timeout: config.DrainTimeout,
+		state:   shutdownChart.Initial(),
+	}
+	s.bound, s.cancel = context.WithCancel(ctx)
+	return s
+}
+
+// Handle takes one event of the chart. The last one ends the actor.
+func (s *shutdown) Handle(_ time.Time, e chart.Event) bool {
+	shutdownChart.Fire(&s.state, e, s)
+	return !shutdownChart.Final(s.state)
+}
+
+// Tick has nothing to do: what waits reports by events.
+func (s *shutdown) Tick(time.Time) bool { return true }
+
+// Flush has nothing to do.
+func (s *shutdown) Flush(time.Time) {}
+
+func (s *shutdown) dropReadiness() {
+	s.log.Event(event.StopRequested)
+	s.parts.core.Send(dropReadiness{})
+	s.parts.front.leave()
+}
+
+func (s *shutdown) startSettling() {
+	if s.settle == 0 {
+		s.inbox.TrySend(shutdownEvents.Settled)
+		return
+	}
+	time.AfterFunc(s.settle, func() { s.inbox.Send(shutdownEvents.Settled) })
+}
+
+func (s *shutdown) startDraining() {
+	s.parts.core.Send(&input{message: &dispatch.Stop{}})
+	if s.timeout > 0 {
+		time.AfterFunc(s.timeout, func() {
+			s.inbox.Send(shutdownEvents.Overdue)
+		})
+	}
+	go s.awaitDrained()
+}
+
+func (s *shutdown) awaitDrained() {
+	select {
+	case <-s.parts.drained:
+		s.inbox.Send(shutdownEvents.Drained)
+	case <-s.inbox.Done():
+	}
+}
+
+func (s *shutdown) reportDrained() { s.log.Event(event.Drained) }
+
+func (s *shutdown) reportOverdue() {
+	s.log.Event(event.DrainTimedOut)
+	s.cancel()
+}
+
+func (s *shutdown) closeCallers() {
+	s.after(shutdownEvents.CallersDone, func() error { return s.parts.front.shutdown(s.bound) })
+}
+
+func (s *shutdown) closePeers() {
+	s.after(shutdownEvents.PeersDone, func() error { return s.parts.peerServer.Shutdown(s.bound) })
+}
+
+// closeLinks is not bounded: nothing that an agent does can hold it up.
+func (s *shutdown) closeLinks() {
+	s.after(shutdownEvents.LinksDone, func() error { return s.parts.links.stop(context.Background()) })
+}
+
+// after runs f in its own goroutine and reports its end, whatever it returns: a
+// stop goes on.
+func (s *shutdown) after(done chart.Event, f func() error) {
+	go func() {
+		if err := f(); err != nil {
+			s.log.Event(event.ActorFailed, zap.String("part", "shutdown"), zap.Error(err))
+		}
+		s.inbox.Send(done)
+	}()
+}
+
+func (s *shutdown) end() {
+	s.cancel()
+	s.parts.core.Send(endCore{})
+	s.parts.peers.Send(endPeers{})
+	s.log.Event(event.DaemonStopped)
+}
