An entry that restarts takes its link address back

Cause: the server of the agents' links was bound without SO_REUSEADDR, so for a minute after a planned stop (which closes the links first) a restart on the same address failed with "address already in use". The new test fails without the option. Planned stops also no longer log the end of their links as a loss.

--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -117,7 +117,7 @@
 		return
 	}
 	delete(c.byID, id)
-	if l.state == linkStates.Up {
+	if l.state == linkStates.Up && !l.entryLeaving {
 		c.happened(event.LinkBroken, l.address, structs.GrantID{}, "")
 	}
 	l.out = nil
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -211,7 +211,9 @@
 		return
 	}
 	c.fireSession(s, sessionEvents.LinkLost, nil)
-	c.happened(event.AgentLost, s.endpoint, "")
+	if !c.leaving() {
+		c.happened(event.AgentLost, s.endpoint, "")
+	}
 }
 
 func (c *Core) fireSession(s *session, e chart.Event, hello *structs.Hello) {
--- a/internal/entryd/daemon_test.go
+++ b/internal/entryd/daemon_test.go
@@ -141,3 +141,21 @@
 	}
 	is.True(d.Self().Incarnation != structs.Incarnation(0))
 }
+
+// An entry that stops closes its agents' connections first, so the system keeps
+// their address for a while; a restart must get it all the same.
+func TestRestartTakesTheAddressesBack(t *testing.T) {
+	is := is.New(t)
+	config := testConfig()
+	first := start(t, config)
+	agent := greet(t, first)
+	config.HTTPAddress = first.Self().HTTPAddress
+	config.LinkAddress = first.Self().LinkAddress
+	config.PeerAddress = first.Self().PeerAddress
+	first.Stop()
+	first.Wait()
+	agent.closed()
+	second := start(t, config)
+	is.Equal(second.Self().LinkAddress, first.Self().LinkAddress)
+	is.True(second.Self().Incarnation != first.Self().Incarnation)
+}
--- a/internal/entryd/links.go
+++ b/internal/entryd/links.go
@@ -63,6 +63,9 @@
 
 func (s *linkServer) run() {
 	err := gnet.Run(s, "tcp://"+s.options.address,
+		// An entry that restarts takes its address back although connections of its
+		// earlier life still fade out.
+		gnet.WithReuseAddr(true),
 		gnet.WithNumEventLoop(s.options.loops),
 		gnet.WithLoadBalancing(gnet.LeastConnections),
 		gnet.WithLogger(silentLogger{}),
