--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -203,13 +203,13 @@
 	}
 }
 
+// shedLane passes over jobs of which parts have started: their other tasks keep
+// their place.
 func (c *Core) shedLane(l *lane) {
-	for l.waiting > 0 && c.overdue(l) {
-		j := l.first().job
+	if l.waiting == 0 || !c.overdue(l) {
+		return
+	}
+	for _, j := range l.jobsWaitingSince(c.now.Add(-c.objective(l.service))) {
 		c.fireJob(j, jobEvents.Shed, nil)
-		if !j.ended() {
-			// Parts of the job have started; its other tasks keep their place.
-			return
-		}
 	}
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -135,6 +135,25 @@
 	return nil
 }
 
+// jobsWaitingSince returns the jobs with a task that was queued before the
+// given time. The lane is in the order of these times, but for the few tasks
+// that came back from a refusal or another lane.
+func (l *lane) jobsWaitingSince(limit time.Time) []*job {
+	var jobs []*job
+	for _, t := range l.tasks[l.head:] {
+		if t == nil || !t.queued {
+			continue
+		}
+		if !t.queuedAt.Before(limit) {
+			break
+		}
+		if len(jobs) == 0 || jobs[len(jobs)-1] != t.job {
+			jobs = append(jobs, t.job)
+		}
+	}
+	return jobs
+}
+
 // pop removes the task that first returned.
 func (l *lane) pop() {
 	t := l.tasks[l.head]
