--- /dev/null
+++ b/cmd/cactuspost-model/main.go
@@ -0,0 +1,105 @@
+// Command cactuspost-model generates the specification from the charts and runs
+// the model checker spin on it. It is run from the root of the repository.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"cactuspost.example/charts"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/promela"
+)
+
+// specDir is the specification's folder below the root of the repository.
+const specDir = "spec"
+
+func main() {
+	command := &cli.Command{
+		Name:  "cactuspost-model",
+		Usage: "checks the protocols with spin, from the charts that the code interprets",
+		Commands: []*cli.Command{
+			{Name: "generate", Usage: "writes " + specDir + "/gen from the charts", Action: generate},
+			{Name: "check", Usage: "checks every model and broken variant", Flags: checkFlags(), Action: check},
+		},
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func checkFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "keep", Usage: "keep the checkers and their traces in this folder"},
+		&cli.StringFlag{Name: "only", Usage: "run only this model or variant"},
+	}
+}
+
+func generate(context.Context, *cli.Command) error {
+	suite, err := promela.LoadSuite(os.DirFS(specDir), charts.Files)
+	if err != nil {
+		return err
+	}
+	return promela.WriteGenerated(specDir, suite.Definitions)
+}
+
+func check(_ context.Context, command *cli.Command) error {
+	suite, err := promela.LoadSuite(os.DirFS(specDir), charts.Files)
+	if err != nil {
+		return err
+	}
+	if err := suite.CheckGenerated(); err != nil {
+		return err
+	}
+	searches, err := suite.Searches()
+	if err != nil {
+		return err
+	}
+	dir, remove, err := workFolder(command.String("keep"))
+	if err != nil {
+		return err
+	}
+	defer remove()
+	results, err := suite.Check(dir, selected(searches, command.String("only")))
+	if err != nil {
+		return err
+	}
+	good, err := promela.Report(os.Stdout, results)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if !good {
+		return failure.New(failure.Internal, failure.Ran, "a model failed or a broken variant was not caught as it names")
+	}
+	return nil
+}
+
+// workFolder returns the folder to keep, or a temporary one and its removal.
+func workFolder(keep string) (string, func(), error) {
+	if keep != "" {
+		return keep, func() {}, nil
+	}
+	dir, err := os.MkdirTemp("", "cactuspost-model-")
+	if err != nil {
+		return "", nil, errors.WithStack(err)
+	}
+	return dir, func() { _ = os.RemoveAll(dir) }, nil
+}
+
+func selected(searches []promela.Search, only string) []promela.Search {
+	if only == "" {
+		return searches
+	}
+	var kept []promela.Search
+	for _, s := range searches {
+		if s.Name() == only {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/promela/checker.go
@@ -0,0 +1,263 @@
+package promela
+
+import (
+	"fmt"
+	"io/fs"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"cactuspost.example/internal/chart"
+)
+
+// Limits of one search.
+const (
+	// searchMemoryMB bounds the memory of one checker process.
+	searchMemoryMB = 900
+	// searchDepth bounds the length of one path, in steps.
+	searchDepth = 100_000
+	// searchParallel is the number of checker processes at a time.
+	searchParallel = 4
+)
+
+// mainFile is the file given to spin; it sets sizes and includes the model.
+const mainFile = "main.pml"
+
+// Search is one run of the checker: a model, or a broken variant of it.
+type Search struct {
+	Model Model
+	// Variant is nil for the model itself.
+	Variant *Variant
+}
+
+// Name returns the model's or the variant's name.
+func (s Search) Name() string {
+	if s.Variant != nil {
+		return s.Variant.Name
+	}
+	return s.Model.Name
+}
+
+// Sizes returns the size macros in force.
+func (s Search) Sizes() map[string]int {
+	sizes := map[string]int{}
+	for name, value := range s.Model.Sizes {
+		sizes[name] = value
+	}
+	if s.Variant != nil {
+		for name, value := range s.Variant.Sizes {
+			sizes[name] = value
+		}
+	}
+	return sizes
+}
+
+// Result is what one search found.
+type Result struct {
+	Search Search
+	// States counts the distinct states visited.
+	States int
+	// Depth is the length of the longest path, in steps.
+	Depth int
+	// Exhaustive is false when a limit ended the search.
+	Exhaustive bool
+	// Violated names the property of the first error; empty means none.
+	Violated string
+}
+
+// Good reports whether the search came out as it must: a model without error
+// and searched whole, a variant caught by the property that it names.
+func (r Result) Good() bool {
+	if r.Search.Variant != nil {
+		return r.Violated == r.Search.Variant.Property
+	}
+	return r.Violated == "" && r.Exhaustive
+}
+
+// Searches lists the models and then the variants.
+// It returns an *EditError for a variant of an unknown model.
+func (s *Suite) Searches() ([]Search, error) {
+	var searches []Search
+	for _, m := range s.Models {
+		searches = append(searches, Search{Model: m})
+	}
+	for i := range s.Variants {
+		v := &s.Variants[i]
+		m, ok := s.model(v.Model)
+		if !ok {
+			return nil, v.fault("no model %q", v.Model)
+		}
+		searches = append(searches, Search{Model: m, Variant: v})
+	}
+	return searches, nil
+}
+
+// ToolError reports a tool of the checker that failed.
+type ToolError struct {
+	Tool   string
+	Search string
+	Output string
+	cause  error
+}
+
+// Error names the tool and the search, with the tool's output.
+func (e *ToolError) Error() string {
+	return fmt.Sprintf("%s failed on %s: %v\n%s", e.Tool, e.Search, e.cause, e.Output)
+}
+
+// Unwrap returns the cause.
+func (e *ToolError) Unwrap() error { return e.cause }
+
+// Check runs every search, a few at a time, each in its own folder below dir,
+// and returns the results in the order of the searches.
+func (s *Suite) Check(dir string, searches []Search) ([]Result, error) {
+	results := make([]Result, len(searches))
+	faults := make([]error, len(searches))
+	indices := make(chan int)
+	var workers sync.WaitGroup
+	for range searchParallel {
+		workers.Go(func() {
+			for i := range indices {
+				folder := filepath.Join(dir, searches[i].Name())
+				results[i], faults[i] = s.run(folder, searches[i])
+			}
+		})
+	}
+	for i := range searches {
+		indices <- i
+	}
+	close(indices)
+	workers.Wait()
+	for _, err := range faults {
+		if err != nil {
+			return nil, err
+		}
+	}
+	return results, nil
+}
+
+func (s *Suite) run(dir string, search Search) (Result, error) {
+	if err := s.write(dir, search); err != nil {
+		return Result{}, err
+	}
+	tools := [][]string{
+		{"spin", "-a", mainFile},
+		{"gcc", "-O1", "-w", "-DSAFETY", "-DMEMLIM=" + strconv.Itoa(searchMemoryMB), "-o", "pan", "pan.c"},
+		{"./pan", "-m" + strconv.Itoa(searchDepth)},
+	}
+	var output []byte
+	for _, tool := range tools {
+		command := exec.Command(tool[0], tool[1:]...)
+		command.Dir = dir
+		var err error
+		output, err = command.CombinedOutput()
+		if err != nil {
+			return Result{}, errors.WithStack(&ToolError{Tool: tool[0], Search: search.Name(), Output: string(output), cause: err})
+		}
+	}
+	return parseOutput(search, string(output))
+}
+
+// write puts the generated charts, the environment and the main file into dir.
+func (s *Suite) write(dir string, search Search) error {
+	defs := s.Definitions
+	if search.Variant != nil {
+		edited, err := search.Variant.Apply(defs)
+		if err != nil {
+			return err
+		}
+		defs = edited
+	}
+	environment, err := fs.ReadFile(s.Spec, search.Model.File)
+	if err != nil {
+		return errors.WithStack(&FileError{Path: search.Model.File, cause: err})
+	}
+	files := Generated(defs)
+	files[search.Model.File] = string(environment)
+	files[mainFile] = mainText(search)
+	return writeFiles(dir, files)
+}
+
+// WriteGenerated writes the generated charts below the specification's folder.
+func WriteGenerated(spec string, defs map[string]*chart.Definition) error {
+	return writeFiles(spec, Generated(defs))
+}
+
+func writeFiles(dir string, files map[string]string) error {
+	for name, text := range files {
+		path := filepath.Join(dir, name)
+		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+			return errors.WithStack(&FileError{Path: path, cause: err})
+		}
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			return errors.WithStack(&FileError{Path: path, cause: err})
+		}
+	}
+	return nil
+}
+
+func mainText(search Search) string {
+	var lines []string
+	for name, value := range search.Sizes() {
+		lines = append(lines, fmt.Sprintf("#define %s %d", name, value))
+	}
+	if search.Variant != nil {
+		lines = append(lines, "#define PROPERTY "+search.Variant.Property)
+		for heading, body := range search.Variant.Define {
+			lines = append(lines, fmt.Sprintf("#define %s %s", heading, body))
+		}
+	}
+	sort.Strings(lines)
+	lines = append(lines, fmt.Sprintf("#include %q", search.Model.File))
+	return strings.Join(lines, "\n") + "\n"
+}
+
+var (
+	statesPattern    = regexp.MustCompile(`(?m)^\s*(\d+) states, stored`)
+	depthPattern     = regexp.MustCompile(`depth reached (\d+), errors: (\d+)`)
+	propertyPattern  = regexp.MustCompile(`assertion violated .*\|\|\s*!\(?(\w+)\)?\)`)
+	errorPattern     = regexp.MustCompile(`(?m)^pan:\d+: (.*)$`)
+	incompletePhrase = "Search not completed"
+	truncatedPhrase  = "max search depth too small"
+)
+
+// parseOutput reads the report that the checker prints.
+func parseOutput(search Search, output string) (Result, error) {
+	states := statesPattern.FindStringSubmatch(output)
+	depth := depthPattern.FindStringSubmatch(output)
+	if states == nil || depth == nil {
+		return Result{}, errors.WithStack(&ToolError{Tool: "pan", Search: search.Name(), Output: output, cause: errNoReport})
+	}
+	result := Result{Search: search, Violated: violated(output)}
+	result.States, _ = strconv.Atoi(states[1])
+	result.Depth, _ = strconv.Atoi(depth[1])
+	result.Exhaustive = !strings.Contains(output, incompletePhrase) && !strings.Contains(output, truncatedPhrase)
+	if depth[2] != "0" && result.Violated == "" {
+		result.Violated = "unnamed"
+	}
+	return result, nil
+}
+
+// errNoReport is the cause when the checker ended without a report.
+var errNoReport = errors.New("no report")
+
+// violated returns the name of the violated property, the checker's own words
+// for an error without a name, or nothing.
+func violated(output string) string {
+	if m := propertyPattern.FindStringSubmatch(output); m != nil {
+		return m[1]
+	}
+	for _, m := range errorPattern.FindAllStringSubmatch(output, -1) {
+		if !strings.Contains(m[1], truncatedPhrase) {
+			return m[1]
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/promela/variant.go
@@ -0,0 +1,156 @@
+package promela
+
+import (
+	"encoding/json"
+	"fmt"
+	"io/fs"
+	"path"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+
+	"cactuspost.example/internal/chart"
+)
+
+// Variant is a deliberately broken model that the checker must catch.
+type Variant struct {
+	// Name is the file's name without suffix.
+	Name string `json:"-"`
+	// Doc says what is broken.
+	Doc string `json:"doc"`
+	// Model names the model of the suite that is changed.
+	Model string `json:"model"`
+	// Property names the property that must be violated.
+	Property string `json:"property"`
+	// Charts lists the changed transitions.
+	Charts []ChartEdit `json:"charts"`
+	// Define replaces macros of the environment: heading to body.
+	Define map[string]string `json:"define"`
+	// Sizes replaces sizes of the model.
+	Sizes map[string]int `json:"sizes"`
+}
+
+// ChartEdit replaces what one state of a chart does on one event.
+type ChartEdit struct {
+	Chart string `json:"chart"`
+	State string `json:"state"`
+	Event string `json:"event"`
+	// Transitions are the new alternatives; an empty list means ignore.
+	Transitions []chart.Transition `json:"transitions"`
+}
+
+// EditError reports a variant that does not fit its chart.
+type EditError struct {
+	Variant string
+	Reason  string
+}
+
+// Error names the variant and the reason.
+func (e *EditError) Error() string { return "variant " + e.Variant + ": " + e.Reason }
+
+// LoadVariants reads every variant file of a folder, in order of name.
+func LoadVariants(files fs.FS, dir string) ([]Variant, error) {
+	paths, err := fs.Glob(files, path.Join(dir, "*.jsonc"))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	var variants []Variant
+	for _, file := range paths {
+		var v Variant
+		if err := readJSON(files, file, &v); err != nil {
+			return nil, err
+		}
+		v.Name = strings.TrimSuffix(path.Base(file), ".jsonc")
+		variants = append(variants, v)
+	}
+	return variants, nil
+}
+
+// Apply returns copies of the definitions with the variant's edits. The
+// originals are left as they are.
+// It returns an *EditError when an edit names something that does not exist.
+func (v *Variant) Apply(defs map[string]*chart.Definition) (map[string]*chart.Definition, error) {
+	out := make(map[string]*chart.Definition, len(defs))
+	for name, def := range defs {
+		out[name] = def
+	}
+	for _, edit := range v.Charts {
+		def, ok := out[edit.Chart]
+		if !ok {
+			return nil, v.fault("no chart %q", edit.Chart)
+		}
+		edited, err := v.edit(def, edit)
+		if err != nil {
+			return nil, err
+		}
+		out[edit.Chart] = edited
+	}
+	return out, nil
+}
+
+func (v *Variant) edit(def *chart.Definition, edit ChartEdit) (*chart.Definition, error) {
+	state, ok := def.States[edit.State]
+	if !ok {
+		return nil, v.fault("chart %q has no state %q", def.Name, edit.State)
+	}
+	if _, ok := def.Events[edit.Event]; !ok {
+		return nil, v.fault("chart %q has no event %q", def.Name, edit.Event)
+	}
+	for _, t := range edit.Transitions {
+		if _, ok := def.States[t.To]; !ok {
+			return nil, v.fault("chart %q has no state %q", def.Name, t.To)
+		}
+	}
+	copied := *def
+	copied.States = make(map[string]chart.StateDefinition, len(def.States))
+	for name, other := range def.States {
+		copied.States[name] = other
+	}
+	copied.States[edit.State] = replaceEvent(state, edit)
+	return &copied, nil
+}
+
+func replaceEvent(state chart.StateDefinition, edit ChartEdit) chart.StateDefinition {
+	on := make(map[string][]chart.Transition, len(state.On))
+	for event, alternatives := range state.On {
+		on[event] = alternatives
+	}
+	delete(on, edit.Event)
+	if len(edit.Transitions) > 0 {
+		on[edit.Event] = edit.Transitions
+	}
+	state.On = on
+	return state
+}
+
+func (v *Variant) fault(format string, args ...any) error {
+	return errors.WithStack(&EditError{Variant: v.Name, Reason: fmt.Sprintf(format, args...)})
+}
+
+// FileError reports a file of the specification that can't be read.
+type FileError struct {
+	Path  string
+	cause error
+}
+
+// Error names the file and the cause.
+func (e *FileError) Error() string { return e.Path + ": " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error { return e.cause }
+
+func readJSON(files fs.FS, file string, target any) error {
+	raw, err := fs.ReadFile(files, file)
+	if err != nil {
+		return errors.WithStack(&FileError{Path: file, cause: err})
+	}
+	plain, err := hujson.Standardize(raw)
+	if err != nil {
+		return errors.WithStack(&FileError{Path: file, cause: err})
+	}
+	if err := json.Unmarshal(plain, target); err != nil {
+		return errors.WithStack(&FileError{Path: file, cause: err})
+	}
+	return nil
+}
