--- /dev/null
+++ b/internal/entryd/daemon.go
@@ -0,0 +1,221 @@
+// Package entryd runs an entry: the HTTP server for callers, the server for
+// agents, the service for other entries, and the dispatcher between them.
+//
+// Each part owns its sockets and its state and talks by messages:
+//
+//   - coreActor owns the dispatcher and every waiting caller;
+//   - linkServer's event loops own the agents' connections, one loop each;
+//   - peersActor owns the list of entries;
+//   - shutdown owns the planned stop;
+//   - front's handlers own one request each and hold nothing else.
+//
+// The core actor never waits for another part; all others may wait for it.
+package entryd
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cactuspost.example/internal/actor"
+	"cactuspost.example/internal/dispatch"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/peer"
+	"cactuspost.example/internal/structs"
+)
+
+// peerHeaderTimeout bounds the arrival of another entry's request headers.
+const peerHeaderTimeout = 5 * time.Second
+
+// Daemon is a running entry.
+type Daemon struct {
+	self     structs.Peer
+	parts    *parts
+	shutdown *shutdown
+	done     chan struct{}
+}
+
+// parts are the running parts of a daemon.
+type parts struct {
+	core       *actor.Inbox[coreMessage]
+	peers      *actor.Inbox[peerMessage]
+	drained    chan struct{}
+	links      *linkServer
+	front      *front
+	peerServer *http.Server
+	peerClient *peer.Client
+	// platform is nil if the entry has no table.
+	platform *platform
+}
+
+// listeners are the bound addresses of a daemon that is about to start.
+type listeners struct {
+	http net.Listener
+	peer net.Listener
+}
+
+func (l *listeners) close() {
+	if l.http != nil {
+		_ = l.http.Close()
+	}
+	if l.peer != nil {
+		_ = l.peer.Close()
+	}
+}
+
+// Start listens on the addresses and runs the entry until Stop. Cancelling the
+// context ends it at once, as a crash would. It returns a failure of kind
+// Internal when an address can't be had.
+func Start(ctx context.Context, config Config) (*Daemon, error) {
+	config = config.withDefaults()
+	bound, err := listen(&config)
+	if err != nil {
+		return nil, err
+	}
+	p := &parts{
+		core:       actor.NewInbox[coreMessage](coreInboxSize),
+		peers:      actor.NewInbox[peerMessage](peersInboxSize),
+		drained:    make(chan struct{}, 1),
+		peerClient: peer.NewClient(),
+	}
+	if config.Document != nil {
+		p.core.Send(&input{message: &dispatch.Configure{Document: config.Document}})
+	}
+	p.links, err = startLinks(linkOptions{
+		address: config.LinkAddress,
+		limit:   config.MaxLinks,
+		loops:   defaultLoops,
+		period:  config.Heartbeat,
+	}, p.core, config.Log)
+	if err != nil {
+		bound.close()
+		return nil, err
+	}
+	if err := fillAddresses(&config.Self, bound, p.links); err != nil {
+		bound.close()
+		_ = p.links.stop(ctx)
+		return nil, err
+	}
+	return run(ctx, &config, bound, p), nil
+}
+
+func listen(config *Config) (*listeners, error) {
+	l := &listeners{}
+	var err error
+	if l.http, err = net.Listen("tcp", config.HTTPAddress); err != nil {
+		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "listen for callers")
+	}
+	if l.peer, err = net.Listen("tcp", config.PeerAddress); err != nil {
+		l.close()
+		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "listen for other entries")
+	}
+	return l, nil
+}
+
+// fillAddresses sets the addresses that the settings leave to the system.
+func fillAddresses(self *structs.Peer, bound *listeners, links *linkServer) error {
+	link, err := links.address()
+	if err != nil {
+		return err
+	}
+	setIfEmpty(&self.HTTPAddress, bound.http.Addr())
+	setIfEmpty(&self.PeerAddress, bound.peer.Addr())
+	setIfEmpty(&self.LinkAddress, link)
+	return nil
+}
+
+func setIfEmpty(address *string, bound net.Addr) {
+	if *address == "" {
+		*address = bound.String()
+	}
+}
+
+// run starts the actors and the servers.
+func run(ctx context.Context, config *Config, bound *listeners, p *parts) *Daemon {
+	self := config.Self
+	calls := &calls{inbox: p.core}
+	jobs := &jobs{self: self.Incarnation, calls: calls, peers: p.peers}
+	cluster := &cluster{calls: calls, peers: p.peers}
+	d := &Daemon{self: self, parts: p, done: make(chan struct{})}
+	p.platform = newPlatform(config, d)
+	if p.platform != nil && config.Notes == nil {
+		config.Notes = (&notes{inbox: p.platform.notes, store: config.Store, cluster: cluster, log: config.Log}).serve
+	}
+	p.front = newFront(frontOptions{
+		limits:      config.Limits,
+		credentials: newCredentials(config.Callers, config.Operators),
+		tls:         config.TLS,
+		pprof:       config.Pprof,
+		notes:       config.Notes,
+		report:      config.Report,
+	}, bound.http, jobs, cluster, config.Log)
+	p.peerServer = &http.Server{
+		Handler:           peer.NewHandler(self.Incarnation, jobs),
+		ReadHeaderTimeout: peerHeaderTimeout,
+	}
+	d.shutdown = newShutdown(ctx, p, config)
+	coreActor := newCoreActor(config.NewCore(self, config.Seed), config.Log, p.drained)
+	peersActor := &peersActor{ctx: ctx, self: self.Incarnation, asker: p.peerClient, log: config.Log, inbox: p.peers}
+	go actor.Run(ctx, p.core, tickPeriod, coreActor)
+	go actor.Run(ctx, p.peers, peersPeriod, peersActor)
+	go p.front.serve()
+	go d.servePeers(bound.peer, config)
+	go d.run(ctx)
+	if p.platform != nil {
+		p.platform.run(d.shutdown.bound)
+	}
+	config.Log.Event(event.DaemonStarted, zap.Stringer("incarnation", self.Incarnation),
+		zap.String("http", self.HTTPAddress), zap.String("link", self.LinkAddress), zap.String("peer", self.PeerAddress))
+	return d
+}
+
+func (d *Daemon) servePeers(listener net.Listener, config *Config) {
+	err := d.parts.peerServer.Serve(listener)
+	if err != http.ErrServerClosed {
+		config.Log.Event(event.ActorFailed, zap.String("part", "peers"), zap.Error(err))
+	}
+}
+
+// run leads the planned stop, or ends everything when the context does.
+func (d *Daemon) run(ctx context.Context) {
+	defer close(d.done)
+	actor.Run(ctx, d.shutdown.inbox, shutdownPeriod, d.shutdown)
+	if ctx.Err() != nil {
+		_ = d.parts.front.shutdown(ctx)
+		_ = d.parts.peerServer.Close()
+		_ = d.parts.links.stop(context.Background())
+	}
+	<-d.parts.core.Done()
+	<-d.parts.peers.Done()
+	d.parts.peerClient.Close()
+}
+
+// Self returns the entry as others reach it.
+func (d *Daemon) Self() structs.Peer { return d.self }
+
+// Configure puts a document in force if its revision is higher than the one
+// that is.
+func (d *Daemon) Configure(document *structs.Document) {
+	d.parts.core.Send(&input{message: &dispatch.Configure{Document: document}})
+}
+
+// SetPeers replaces the list of entries, this one included.
+func (d *Daemon) SetPeers(peers []structs.Peer) {
+	d.parts.core.Send(&input{message: &dispatch.SetPeers{Peers: peers}})
+	d.parts.peers.Send(&setPeers{peers: peers})
+}
+
+// Stop begins the planned stop: the entry is no longer ready, then refuses new
+// submissions, finishes its open jobs and answers every request in progress. It
+// returns at once; asking again changes nothing.
+func (d *Daemon) Stop() { d.shutdown.inbox.TrySend(shutdownEvents.Stop) }
+
+// Done is closed when the entry has ended.
+func (d *Daemon) Done() <-chan struct{} { return d.done }
+
+// Wait returns when the entry has ended.
+func (d *Daemon) Wait() { <-d.done }
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -13,6 +13,13 @@
 	JobShed             ID = 1011
 	BadFrameFromAgent   ID = 1020
 	BadMessageFromAgent ID = 1021
+	AgentLinkSilent     ID = 1022
+	AgentLinkOverflow   ID = 1023
+	LinkLimitReached    ID = 1024
+	LinkEncodeFault     ID = 1026
+	PeerUnreachable     ID = 1030
+	PeerReplaced        ID = 1031
+	PeerRejected        ID = 1032
 )
 
 var entryEvents = []Description{
@@ -27,4 +34,11 @@
 	{JobShed, Warning, "job shed", "A waiting job could not start within its objective and was refused; none of its tasks ran.", "Add workers or lower the quota of the team that crowds the pool."},
 	{BadFrameFromAgent, Fault, "bad frame from agent", "Bytes on a link were not a valid frame; the link was closed.", "Check that the peer is an agent of this release."},
 	{BadMessageFromAgent, Fault, "bad message from agent", "A frame was valid but made no sense at that point; the link was closed.", "Check the agent's release."},
+	{AgentLinkSilent, Warning, "link silent", "Nothing arrived from an agent for the heartbeat timeout; the link was closed.", "None, if the agent comes back; else check the worker and the network."},
+	{AgentLinkOverflow, Warning, "link overflow", "An agent reads too slowly and too many bytes wait for it; the link was closed.", "Check the load of the worker and the network."},
+	{LinkLimitReached, Fault, "link limit reached", "A connection from an agent was closed at once because the entry has as many as it may.", "Raise the limit or add entries; look for agents that dial in a loop."},
+	{LinkEncodeFault, Fault, "link encode fault", "A message to an agent could not be encoded; the link was closed.", "Report it with the detail."},
+	{PeerUnreachable, Warning, "peer unreachable", "A request was to be passed on to the entry that owns its job, which could not be reached; the caller was told to ask again.", "Check that entry and the network between the entries."},
+	{PeerReplaced, Warning, "peer replaced", "The address of a job's owner answers as another incarnation; the job was reported failed with an unknown outcome.", "Look for crashes of that entry if it repeats."},
+	{PeerRejected, Warning, "peer rejected", "A request passed on by another entry was rejected: it was meant for another incarnation, or its message is broken.", "None, if it follows the replacement of an entry; else check that all entries have the same release."},
 }
--- a/internal/structs/link.go
+++ b/internal/structs/link.go
@@ -18,6 +18,8 @@
 	Leaving bool
 	// Revision is the configuration revision in force at the agent.
 	Revision uint64
+	// Config is sent to an entry that knows a lower revision than the agent.
+	Config *Document
 	// Heartbeat is set on messages that only show that the agent lives.
 	Heartbeat bool
 }
@@ -27,10 +29,17 @@
 	// Endpoint is the name of the endpoint beside the agent.
 	Endpoint    string
 	Incarnation Incarnation
-	Pool        string
-	DataCentre  string
-	Slots       uint32
-	Capacity    Needs
+	// Connection rises with each attempt of the agent to connect: a hello that
+	// is overtaken by a later one is told by it.
+	Connection uint64
+	// Session is the Connection at which the agent's present memory of the
+	// entry's grants began. An agent that dropped results of the entry begins a
+	// new session: it can no longer say which grants never started.
+	Session    uint64
+	Pool       string
+	DataCentre string
+	Slots      uint32
+	Capacity   Needs
 	// Held lists the grants of this entry that the agent has started and whose
 	// results are not acknowledged. A grant that is not listed was not started
 	// and never will be.
@@ -85,10 +94,10 @@
 type FromEntry struct {
 	Welcome *Welcome
 	// Acks lists grants whose results were received.
-	Acks []GrantID
-	// Cancels lists grants whose tasks should stop.
+	Acks   []GrantID
+	Grants []Grant
+	// Cancels lists grants whose tasks should stop, also of this message.
 	Cancels []GrantID
-	Grants  []Grant
 	// Demand replaces the entry's demand at the agent.
 	Demand *Demand
 	// Config replaces the configuration if its revision is higher.
@@ -105,6 +114,8 @@
 // Welcome answers a Hello.
 type Welcome struct {
 	Entry Peer
+	// Revision is the configuration revision that the entry knows; zero is none.
+	Revision uint64
 }
 
 // Grant hands one task to the agent.
@@ -114,6 +125,9 @@
 	Kind    string
 	// Long is set for tasks of long kinds, which may not use the short reserve.
 	Long bool
+	// Reserved says that the grant uses a Short credit; otherwise it uses an Any
+	// credit. Both sides count the classes apart, so the grant has to name it.
+	Reserved bool
 	// Limit bounds the run time.
 	Limit   time.Duration
 	Payload []byte
