--- a/internal/promela/checker.go
+++ b/internal/promela/checker.go
@@ -149,7 +149,7 @@
 	}
 	tools := [][]string{
 		{"spin", "-a", mainFile},
-		{"gcc", "-O1", "-w", "-DSAFETY", "-DMEMLIM=" + strconv.Itoa(searchMemoryMB), "-o", "pan", "pan.c"},
+		{"gcc", optimization(search), "-w", "-DSAFETY", "-DMEMLIM=" + strconv.Itoa(searchMemoryMB), "-o", "pan", "pan.c"},
 		{"./pan", "-m" + strconv.Itoa(searchDepth)},
 	}
 	var output []byte
@@ -165,6 +165,15 @@
 	return parseOutput(search, string(output))
 }
 
+// optimization returns the compiler's option: a model is searched whole, which
+// takes longer than the compilation; a variant ends at its first error.
+func optimization(search Search) string {
+	if search.Variant != nil {
+		return "-O0"
+	}
+	return "-O1"
+}
+
 // write puts the generated charts, the environment and the main file into dir.
 func (s *Suite) write(dir string, search Search) error {
 	defs := s.Definitions
