--- /dev/null
+++ b/internal/burn/burn_test.go
@@ -0,0 +1,69 @@
+package burn
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var (
+	key  = Key{Service: "recession", Team: "rivage"}
+	noon = time.Unix(1_800_000_000, 0)
+)
+
+func TestBurnRatesOverBothWindowsAndEntries(t *testing.T) {
+	is := is.New(t)
+	first, second := NewLedger(), NewLedger()
+	for range 90 {
+		first.Job(noon.Add(-30*time.Minute), key, Met)
+	}
+	for range 8 {
+		second.Job(noon, key, Met)
+	}
+	second.Job(noon, key, Queue)
+	first.Job(noon, key, EndpointGone)
+	snapshots := []Snapshot{first.Snapshot(noon), second.Snapshot(noon)}
+	levels := Levels(noon, snapshots, map[string]Objective{"recession": {Target: 0.9, ObjectiveMS: 500}})
+	is.Equal(len(levels), 1)
+	l := levels[0]
+	is.Equal(l.Short.Jobs, uint64(10))
+	is.Equal(l.Short.Bad, uint64(2))
+	is.True(l.Short.BurnRate > 1.99 && l.Short.BurnRate < 2.01) // 20 % bad, 10 % allowed
+	is.Equal(l.Long.Jobs, uint64(100))
+	is.True(l.Long.BurnRate > 0.19 && l.Long.BurnRate < 0.21)
+	is.Equal(l.Long.ByCause, map[string]uint64{"met": 98, "queue": 1, "endpoint gone": 1})
+}
+
+func TestOldBucketsAreReused(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger()
+	l.Job(noon, key, Failed)
+	later := noon.Add(LongWindow)
+	l.Job(later, key, Met)
+	levels := Levels(later, []Snapshot{l.Snapshot(later)}, nil)
+	is.Equal(levels[0].Long.Jobs, uint64(1))
+	is.Equal(levels[0].Long.Bad, uint64(0))
+}
+
+func TestHistogramsSurviveTheWire(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger()
+	for range 98 {
+		l.Task(key, 1)
+	}
+	l.Task(key, 5)
+	l.Task(key, 5)
+	l.ShortStart(key, 2*time.Millisecond, false)
+	l.ShortStart(key, 40*time.Millisecond, true)
+	raw, err := json.Marshal(l.Snapshot(noon))
+	is.NoErr(err)
+	var s Snapshot
+	is.NoErr(json.Unmarshal(raw, &s))
+	level := Levels(noon, []Snapshot{s}, nil)[0]
+	is.True(level.RatioP50 > 0.98 && level.RatioP50 < 1.02)
+	is.True(level.RatioP99 > 4.9 && level.RatioP99 < 5.1)
+	is.True(level.ShortAloneP99 > 1.9 && level.ShortAloneP99 < 2.1)
+	is.True(level.ShortBehindP99 > 39 && level.ShortBehindP99 < 41)
+}
--- /dev/null
+++ b/internal/burn/report.go
@@ -0,0 +1,154 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Level is the state of one service for one team.
+type Level struct {
+	Key
+	// Target is the share of jobs that should meet the objective.
+	Target float64 `json:"target"`
+	// ObjectiveMS is the longest acceptable wait for a start.
+	ObjectiveMS int64 `json:"objective_ms"`
+	// Short and Long are the two windows.
+	Short Window `json:"short_window"`
+	Long  Window `json:"long_window"`
+	// Series is the burn over the long window, bucket by bucket.
+	Series []Bucket `json:"series"`
+	// RatioP50 and RatioP99 are response times over the ideal.
+	RatioP50 float64 `json:"response_over_ideal_p50"`
+	RatioP99 float64 `json:"response_over_ideal_p99"`
+	// ShortAloneP99 and ShortBehindP99 are waits of short tasks in milliseconds
+	// while no long task ran, and while one did; zero means no such task.
+	ShortAloneP99  float64 `json:"short_alone_wait_p99_ms"`
+	ShortBehindP99 float64 `json:"short_behind_long_wait_p99_ms"`
+}
+
+// Window is what happened in a window of time.
+type Window struct {
+	Jobs uint64 `json:"jobs"`
+	Bad  uint64 `json:"bad"`
+	// BurnRate is 1 when the error budget is used up exactly as fast as the
+	// target allows.
+	BurnRate float64 `json:"burn_rate"`
+	// BudgetLeft is the share of the window's error budget that is unused; it is
+	// negative when the window has missed the target.
+	BudgetLeft float64           `json:"budget_left"`
+	ByCause    map[string]uint64 `json:"by_cause"`
+}
+
+// Objective is what a service promises.
+type Objective struct {
+	Target      float64
+	ObjectiveMS int64
+}
+
+// Levels adds up the snapshots of all entries and returns the state per service
+// and team, in the order of their names.
+func Levels(now time.Time, snapshots []Snapshot, objectives map[string]Objective) []Level {
+	var levels []Level
+	for _, m := range mergeAccounts(snapshots) {
+		objective := objectives[m.key.Service]
+		levels = append(levels, m.level(now, objective))
+	}
+	slices.SortFunc(levels, func(a, b Level) int { return compareKeys(a.Key, b.Key) })
+	return levels
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Team, b.Team))
+}
+
+// merged is one account over all entries.
+type merged struct {
+	key                             Key
+	buckets                         map[int64]Counts
+	ratios, shortAlone, shortBehind *hdrhistogram.Histogram
+}
+
+func mergeAccounts(snapshots []Snapshot) map[Key]*merged {
+	all := map[Key]*merged{}
+	for _, s := range snapshots {
+		for _, a := range s.Accounts {
+			m := all[a.Key]
+			if m == nil {
+				m = newMerged(a.Key)
+				all[a.Key] = m
+			}
+			m.add(a)
+		}
+	}
+	return all
+}
+
+func newMerged(key Key) *merged {
+	return &merged{
+		key:         key,
+		buckets:     map[int64]Counts{},
+		ratios:      hdrhistogram.New(1, maxRatio, histogramDigits),
+		shortAlone:  hdrhistogram.New(1, maxWaitMicros, histogramDigits),
+		shortBehind: hdrhistogram.New(1, maxWaitMicros, histogramDigits),
+	}
+}
+
+func (m *merged) add(a Account) {
+	for _, b := range a.Buckets {
+		counts := m.buckets[b.Number]
+		counts.Add(b.Counts)
+		m.buckets[b.Number] = counts
+	}
+	mergeHistogram(m.ratios, a.Ratios)
+	mergeHistogram(m.shortAlone, a.ShortAlone)
+	mergeHistogram(m.shortBehind, a.ShortBehind)
+}
+
+func mergeHistogram(into *hdrhistogram.Histogram, from *hdrhistogram.Snapshot) {
+	if from != nil {
+		into.Merge(hdrhistogram.Import(from))
+	}
+}
+
+func (m *merged) level(now time.Time, o Objective) Level {
+	l := Level{Key: m.key, Target: o.Target, ObjectiveMS: o.ObjectiveMS}
+	for number, counts := range m.buckets {
+		l.Series = append(l.Series, Bucket{Number: number, Counts: counts})
+	}
+	slices.SortFunc(l.Series, func(a, b Bucket) int { return cmp.Compare(a.Number, b.Number) })
+	l.Short = window(now, l.Series, ShortWindow, o.Target)
+	l.Long = window(now, l.Series, LongWindow, o.Target)
+	l.RatioP50 = float64(m.ratios.ValueAtQuantile(50)) / ratioScale
+	l.RatioP99 = float64(m.ratios.ValueAtQuantile(99)) / ratioScale
+	l.ShortAloneP99 = millis(m.shortAlone)
+	l.ShortBehindP99 = millis(m.shortBehind)
+	return l
+}
+
+func millis(h *hdrhistogram.Histogram) float64 {
+	return float64(h.ValueAtQuantile(99)) / 1000
+}
+
+func window(now time.Time, series []Bucket, length time.Duration, target float64) Window {
+	oldest := bucketNumber(now.Add(-length))
+	var sum Counts
+	for _, b := range series {
+		if b.Number > oldest {
+			sum.Add(b.Counts)
+		}
+	}
+	w := Window{Jobs: sum.Total(), Bad: sum.Bad(), ByCause: map[string]uint64{}, BudgetLeft: 1}
+	for cause, n := range sum {
+		if n > 0 {
+			w.ByCause[Cause(cause).String()] = n
+		}
+	}
+	if w.Jobs > 0 && target < 1 {
+		w.BurnRate = float64(w.Bad) / float64(w.Jobs) / (1 - target)
+		w.BudgetLeft = 1 - w.BurnRate
+	}
+	return w
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"cactuspost.example/internal/burn"
 	"cactuspost.example/internal/chart"
 	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
@@ -52,6 +53,7 @@
 
 	waitingBytes int
 	stats        Stats
+	ledger       *burn.Ledger
 	effects      []Effect
 	lastScan     time.Time
 }
@@ -71,6 +73,7 @@
 		closing:  map[LinkID]bool{},
 		retired:  map[string]structs.Service{},
 		kinds:    map[kindKey]*kind{},
+		ledger:   burn.NewLedger(),
 	}
 }
 
@@ -102,6 +105,8 @@
 		drainChart.Fire(&c.drain, drainEvents.Stop, c)
 	case *Inspect:
 		c.emit(&Inspected{Reply: m.Reply, View: c.view()})
+	case *Account:
+		c.emit(&Accounted{Reply: m.Reply, Snapshot: c.ledger.Snapshot(now)})
 	}
 }
 
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -105,6 +105,7 @@
 	t.reserved = !t.lane.long && s.credits.short > 0
 	s.credits.add(t.reserved, -1)
 	c.waitingBytes -= len(t.payload)
+	c.accountStart(t)
 	c.fireTask(t, taskEvents.Grant, s, nil)
 	c.fireHealth(s, healthEvents.Granted)
 	m := s.message()
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -26,6 +26,8 @@
 	failure   *failure.Failure
 	waiters   []ReplyID
 	delivered bool
+	// late says that a task started after the service's objective.
+	late bool
 }
 
 // untouched reports whether no task of the job may have started.
@@ -234,10 +236,14 @@
 	}
 }
 
-func (c *Core) complete(j *job) { c.stats.JobsComplete++ }
+func (c *Core) complete(j *job) {
+	c.stats.JobsComplete++
+	c.accountComplete(j)
+}
 
 func (c *Core) fail(j *job, f *failure.Failure) {
 	c.stats.JobsFailed++
+	c.accountFailure(j, f)
 	j.failure = f
 }
 
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -9,6 +9,7 @@
 package dispatch
 
 import (
+	"cactuspost.example/internal/burn"
 	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
 	"cactuspost.example/internal/structs"
@@ -82,6 +83,9 @@
 // Inspect asks for the state for operators. The effect is Inspected.
 type Inspect struct{ Reply ReplyID }
 
+// Account asks for the accounts of service levels. The effect is Accounted.
+type Account struct{ Reply ReplyID }
+
 func (*CreateJobs) isMessage()   {}
 func (*SubmitJob) isMessage()    {}
 func (*AwaitJob) isMessage()     {}
@@ -93,6 +97,7 @@
 func (*SetPeers) isMessage()     {}
 func (*Stop) isMessage()         {}
 func (*Inspect) isMessage()      {}
+func (*Account) isMessage()      {}
 
 // Effect is an output of Core.
 type Effect interface{ isEffect() }
@@ -141,6 +146,12 @@
 	View  View
 }
 
+// Accounted answers Account.
+type Accounted struct {
+	Reply    ReplyID
+	Snapshot burn.Snapshot
+}
+
 func (*Created) isEffect()   {}
 func (*Answered) isEffect()  {}
 func (*Refused) isEffect()   {}
@@ -149,6 +160,7 @@
 func (*Happened) isEffect()  {}
 func (*Drained) isEffect()   {}
 func (*Inspected) isEffect() {}
+func (*Accounted) isEffect() {}
 
 // View is a copy of the core's state for operators.
 type View struct {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -21,6 +21,8 @@
 	virtual float64
 	waiting int
 	running int
+	// longRunning counts the running tasks of long kinds.
+	longRunning int
 	// failures is the smoothed share of failed tasks over all workers.
 	failures float64
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -292,6 +292,7 @@
 	t.lane.adjust(r.RunTime - t.cost)
 	switch r.Outcome {
 	case structs.Succeeded:
+		c.accountResult(s, t, r)
 		s.learnSlowness(t.kind, r.RunTime)
 		t.kind.observe(r.RunTime)
 		c.fireHealth(s, healthEvents.Succeeded)
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -83,6 +83,7 @@
 	t.grantedAt = c.now
 	holder.granted[t.grantID()] = t
 	holder.pool.running++
+	t.countLong(1)
 	t.lane.charge(t.cost)
 	c.stats.TasksGranted++
 	c.stats.Messages.Grants++
@@ -93,9 +94,16 @@
 func (c *Core) releaseGrant(t *task) {
 	delete(t.holder.granted, t.grantID())
 	t.holder.pool.running--
+	t.countLong(-1)
 	t.holder = nil
 }
 
+func (t *task) countLong(difference int) {
+	if t.lane.long {
+		t.lane.pool.longRunning += difference
+	}
+}
+
 func (c *Core) requeue(t *task) {
 	t.lane.adjust(-t.cost)
 	t.lane.pushFront(t)
