Failure tests on real processes; a killed entry listens again at once

test/cluster starts the real daemons behind forwarders, test/faults loads them and compares what callers were told with what endpoints started.

Cause: a connection that the entry itself had closed stays in TIME_WAIT, and gnet sets no SO_REUSEADDR unless told to. Ruled out: the forwarder of the test (the entry listens on an address that nothing else uses), a second living entry.

--- a/internal/entryd/links.go
+++ b/internal/entryd/links.go
@@ -63,6 +63,9 @@
 
 func (s *linkServer) run() {
 	err := gnet.Run(s, "tcp://"+s.options.address,
+		// A killed entry leaves connections in the state TIME_WAIT; its next life
+		// listens on the same address all the same.
+		gnet.WithReuseAddr(true),
 		gnet.WithNumEventLoop(s.options.loops),
 		gnet.WithLoadBalancing(gnet.LeastConnections),
 		gnet.WithLogger(silentLogger{}),
--- /dev/null
+++ b/test/cluster/process.go
@@ -0,0 +1,144 @@
+package cluster
+
+import (
+	"context"
+	"embed"
+	"os"
+	"os/exec"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cactuspost.example/internal/actor"
+	"cactuspost.example/internal/chart"
+)
+
+const (
+	processInboxSize = 16
+	// processPeriod is the period of a tick that does nothing.
+	processPeriod = time.Minute
+)
+
+//go:embed process.jsonc forwarder.jsonc
+var chartFiles embed.FS
+
+// Process is one daemon. Its actor sends every signal, so that none goes to a
+// process id that has ended and was given to another.
+type Process struct {
+	inbox *actor.Inbox[processMessage]
+	ended chan struct{}
+}
+
+// processMessage is an event of chart process; reply, if set, has room for one.
+type processMessage struct {
+	event chart.Event
+	// status is set for the event exited.
+	status error
+	reply  chan<- bool
+}
+
+type processActor struct {
+	state   chart.State
+	command *exec.Cmd
+	ended   chan struct{}
+}
+
+var processChart = chart.MustCompile(chartFiles, "process", chart.Bindings[*processActor]{
+	Actions: map[string]func(*processActor){
+		"send_stop": func(p *processActor) { p.signal(syscall.SIGSTOP) },
+		"send_cont": func(p *processActor) { p.signal(syscall.SIGCONT) },
+		"send_term": func(p *processActor) { p.signal(syscall.SIGTERM) },
+		"send_kill": func(p *processActor) { p.signal(syscall.SIGKILL) },
+		"announce":  func(p *processActor) { close(p.ended) },
+	},
+})
+
+var processEvents struct {
+	Freeze    chart.Event `chart:"freeze"`
+	Thaw      chart.Event `chart:"thaw"`
+	Terminate chart.Event `chart:"terminate"`
+	Kill      chart.Event `chart:"kill"`
+	Exited    chart.Event `chart:"exited"`
+}
+
+func init() { processChart.MustNames(&processEvents) }
+
+// start runs a binary whose output is appended to a log file.
+func start(binary, settings, log string) (*Process, error) {
+	output, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer func() { _ = output.Close() }()
+	command := exec.Command(binary, "--settings", settings)
+	command.Stdout = output
+	command.Stderr = output
+	// A test binary that is cut off takes its daemons with it.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error, 1)
+	p := &Process{inbox: actor.NewInbox[processMessage](processInboxSize), ended: make(chan struct{})}
+	go p.run(command, started)
+	return p, <-started
+}
+
+// run starts the command and waits for its end.
+func (p *Process) run(command *exec.Cmd, started chan<- error) {
+	if err := command.Start(); err != nil {
+		started <- errors.WithStack(err)
+		return
+	}
+	handler := &processActor{state: processChart.Initial(), command: command, ended: p.ended}
+	go actor.Run(context.Background(), p.inbox, processPeriod, handler)
+	started <- nil
+	status := command.Wait()
+	p.inbox.Send(processMessage{event: processEvents.Exited, status: status})
+}
+
+// Handle implements actor.Handler.
+func (p *processActor) Handle(_ time.Time, m processMessage) bool {
+	processChart.Fire(&p.state, m.event, p)
+	if m.reply != nil {
+		m.reply <- true
+	}
+	return !processChart.Final(p.state)
+}
+
+// Tick implements actor.Handler.
+func (p *processActor) Tick(time.Time) bool { return true }
+
+// Flush implements actor.Handler.
+func (p *processActor) Flush(time.Time) {}
+
+// signal may find the process ended already; the event exited follows then.
+func (p *processActor) signal(s syscall.Signal) { _ = p.command.Process.Signal(s) }
+
+// fire sends an event and returns when its signal was sent.
+func (p *Process) fire(e chart.Event) {
+	reply := make(chan bool, 1)
+	if !p.inbox.Send(processMessage{event: e, reply: reply}) {
+		return
+	}
+	select {
+	case <-reply:
+	case <-p.inbox.Done():
+	}
+}
+
+// Freeze pauses the process, Thaw lets it go on.
+func (p *Process) Freeze() { p.fire(processEvents.Freeze) }
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() { p.fire(processEvents.Thaw) }
+
+// Terminate asks for the planned stop and does not wait for it.
+func (p *Process) Terminate() { p.fire(processEvents.Terminate) }
+
+// Kill ends the process at once and returns when it is gone.
+func (p *Process) Kill() {
+	p.fire(processEvents.Kill)
+	<-p.ended
+}
+
+// Ended is closed when the process is gone.
+func (p *Process) Ended() <-chan struct{} { return p.ended }
--- /dev/null
+++ b/test/faults/bench_test.go
@@ -0,0 +1,242 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cactuspost.example/internal/actor"
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/api/operator"
+	"cactuspost.example/internal/httpclient"
+	"cactuspost.example/test/cluster"
+)
+
+const (
+	// watchdog fails a test that hangs; no verdict depends on it otherwise.
+	watchdog = 2 * time.Minute
+	// lookAgain separates two looks at a state that has no event.
+	lookAgain       = 20 * time.Millisecond
+	operatorTimeout = 15 * time.Second
+	// lifetime is that of the load's jobs: an owner that is lost for good holds
+	// its callers for so long.
+	lifetime = 8 * time.Second
+)
+
+// bench is one running system with its load.
+type bench struct {
+	*cluster.Cluster
+	t       *testing.T
+	is      *is.I
+	ctx     context.Context
+	http    *httpclient.Client
+	ledger  *actor.Inbox[ledgerMessage]
+	stop    chan struct{}
+	callers sync.WaitGroup
+	nextID  int
+	// base is the rate before the first fault, in tasks a window.
+	base int
+	// faults counts what was injected, by its name.
+	faults map[string]int
+}
+
+// size sizes a bench.
+type size struct {
+	entries, agents, slots int
+}
+
+var small = size{entries: 2, agents: 3, slots: 4}
+
+// startBench starts a system with one service and waits until it is ready.
+func startBench(t *testing.T, s size) *bench {
+	t.Helper()
+	folder := t.TempDir()
+	ctx, cancel := context.WithTimeout(context.Background(), watchdog)
+	c, err := cluster.Start(cluster.Options{
+		Binaries: binaries, Folder: folder, Entries: s.entries, Agents: s.agents, Slots: s.slots,
+	})
+	b := &bench{
+		Cluster: c, t: t, is: is.New(t), ctx: ctx, http: httpclient.New(nil),
+		ledger: startLedger(ctx), stop: make(chan struct{}), faults: map[string]int{},
+	}
+	t.Cleanup(func() {
+		cancel()
+		b.callers.Wait()
+		b.ctx = context.Background()
+		b.keepLogs(folder)
+		b.http.Close()
+		c.Close()
+	})
+	b.is.NoErr(err)
+	b.publish(0, b.firstNote(lifetime))
+	for i := range b.Entries {
+		b.awaitEntry(i)
+	}
+	return b
+}
+
+func (b *bench) firstNote(lifetime time.Duration) string {
+	return fmt.Sprintf(`{"id": "first", "author": "tester", "summary": "Open the service.", "base": 0, "added": {
+  "services": {%q: {"pool": %q, "start_objective_ms": 600000, "target": 0.9, "lifetime_ms": %d, "task_limit_ms": %d}},
+  "teams": {%q: {"quotas": {%q: 1}}, %q: {"quotas": {%q: 1}}}}}`,
+		service, cluster.Pool, lifetime.Milliseconds(), lifetime.Milliseconds(), cluster.Team, service, cluster.OtherTeam, service)
+}
+
+// until looks again until the condition holds; the watchdog fails the test.
+func (b *bench) until(what string, holds func() bool) {
+	b.t.Helper()
+	for !holds() {
+		if b.ctx.Err() != nil {
+			b.t.Fatalf("watchdog: %s", what)
+		}
+		pause(b.ctx, lookAgain)
+	}
+}
+
+// operate sends an operator's request.
+func (b *bench) operate(method, url string, body string) (int, []byte, error) {
+	response, err := b.http.Exchange(b.ctx, httpclient.Request{
+		Method: method, URL: url, Token: cluster.OperatorToken, Accept: api.JSONType,
+		ContentType: api.JSONType, Body: []byte(body), Timeout: operatorTimeout,
+	})
+	if err != nil {
+		return 0, nil, err
+	}
+	return response.Status, response.Body, nil
+}
+
+// publish sends a note until it is accepted.
+func (b *bench) publish(entry int, note string) {
+	b.t.Helper()
+	b.until("publish a note", func() bool {
+		status, body, err := b.operate(http.MethodPost, b.Entries[entry].URL()+api.NotesPath, note)
+		if err == nil && status < http.StatusInternalServerError && status != http.StatusOK {
+			b.t.Fatalf("status %d: %s", status, body)
+		}
+		return err == nil && status == http.StatusOK
+	})
+}
+
+// view returns what an entry knows itself.
+func (b *bench) view(entry int) (operator.EntryView, bool) {
+	status, body, err := b.operate(http.MethodGet, b.Entries[entry].URL()+api.EndpointsPath, "")
+	var answer operator.EndpointsAnswer
+	if err != nil || status != http.StatusOK || api.DecodeLenient(body, &answer) != nil || len(answer.Entries) == 0 {
+		return operator.EntryView{}, false
+	}
+	return answer.Entries[0], true
+}
+
+// awaitEntry returns when an entry takes jobs and every agent is connected.
+func (b *bench) awaitEntry(entry int) {
+	b.t.Helper()
+	b.until(b.Entries[entry].Name+" ready", func() bool {
+		view, ok := b.view(entry)
+		if !ok || view.Revision == 0 {
+			return false
+		}
+		up := 0
+		for _, e := range view.Endpoints {
+			if e.Session == "up" {
+				up++
+			}
+		}
+		return up == len(b.Agents)
+	})
+}
+
+// load is what the callers do.
+type load struct {
+	callers  int
+	maxTasks int
+	sleep    time.Duration
+}
+
+var crowd = load{callers: 12, maxTasks: 4, sleep: 20 * time.Millisecond}
+
+// startLoad starts callers and waits until they are at full rate.
+func (b *bench) startLoad(l load) {
+	b.t.Helper()
+	for range l.callers {
+		token := cluster.CallerToken
+		if b.nextID%2 == 1 {
+			token = cluster.OtherToken
+		}
+		c, err := newCaller(b.nextID, token, b.URLs, b.ledger)
+		b.is.NoErr(err)
+		b.nextID++
+		c.maxTasks = l.maxTasks
+		c.sleep = l.sleep
+		b.callers.Go(func() { c.run(b.ctx, b.stop) })
+	}
+	b.awaitComplete(10 * l.callers)
+	pause(b.ctx, rateWindow)
+	b.base = ask(b.ledger, func(reply chan<- int) ledgerMessage { return &rateAsked{reply: reply} })
+	b.is.True(b.base > 0)
+}
+
+// awaitComplete returns when as many more jobs are complete.
+func (b *bench) awaitComplete(jobs int) {
+	b.t.Helper()
+	b.await(&ledgerWait{complete: jobs})
+}
+
+// awaitRate returns how long it took from now until the end of the first
+// window at full rate, less the window itself.
+func (b *bench) awaitRate() time.Duration {
+	b.t.Helper()
+	from := time.Now()
+	at := b.await(&ledgerWait{rate: int(fullRate * float64(b.base))})
+	return at.Sub(from) - rateWindow
+}
+
+func (b *bench) await(w *ledgerWait) time.Time {
+	b.t.Helper()
+	reply := make(chan time.Time, 1)
+	w.reply = reply
+	b.ledger.Send(w)
+	select {
+	case at := <-reply:
+		return at
+	case <-b.ctx.Done():
+		b.t.Fatal("watchdog: the load did not go on")
+		return time.Time{}
+	}
+}
+
+// injected counts faults.
+func (b *bench) injected(name string, count int) { b.faults[name] += count }
+
+// finish ends the load, waits for the end of every job and judges.
+func (b *bench) finish() *figures {
+	b.t.Helper()
+	close(b.stop)
+	b.callers.Wait()
+	b.awaitIdle()
+	endings := ask(b.ledger, func(reply chan<- []ending) ledgerMessage { return &endingsAsked{reply: reply} })
+	unended := ask(b.ledger, func(reply chan<- int) ledgerMessage { return &unendedAsked{reply: reply} })
+	f := judge(endings, unended, b.Starts())
+	b.t.Logf("faults=%v base=%d/s %v", b.faults, b.base, f)
+	if f.broken() {
+		b.t.Error("a promise was broken")
+	}
+	return f
+}
+
+// awaitIdle returns when no endpoint runs a task, so that no start is missed.
+func (b *bench) awaitIdle() {
+	b.t.Helper()
+	b.until("no task runs", func() bool {
+		for _, a := range b.Agents {
+			if a.Endpoint.Totals().Running > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/test/faults/caller_test.go
@@ -0,0 +1,163 @@
+package faults
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"cactuspost.example/cactuspost"
+	"cactuspost.example/internal/actor"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/standin"
+)
+
+const (
+	// service is what every load submits to.
+	service = "recession"
+	kind    = "profile-check"
+	// askAgain separates the requests of a caller that has no final answer.
+	askAgain = 50 * time.Millisecond
+)
+
+// caller submits one job after the other and follows each to its end. It is
+// one goroutine; its random numbers depend on its index alone.
+type caller struct {
+	index int
+	// first and second turn to the entries in different orders.
+	first, second *cactuspost.Client
+	ledger        *actor.Inbox[ledgerMessage]
+	rng           *rand.Rand
+	maxTasks      int
+	sleep         time.Duration
+	jobs          int
+}
+
+func newCaller(index int, token string, urls func(first int) []string, ledger *actor.Inbox[ledgerMessage]) (*caller, error) {
+	first, err := cactuspost.New(cactuspost.Config{Entries: urls(index), Token: token})
+	if err != nil {
+		return nil, err
+	}
+	second, err := cactuspost.New(cactuspost.Config{Entries: urls(index + 1), Token: token})
+	if err != nil {
+		return nil, err
+	}
+	return &caller{
+		index: index, first: first, second: second, ledger: ledger,
+		rng: rand.New(rand.NewPCG(seed, uint64(index))),
+	}, nil
+}
+
+// run works until stop is closed; the job in progress is followed to its end.
+func (c *caller) run(ctx context.Context, stop <-chan struct{}) {
+	defer c.first.Close()
+	defer c.second.Close()
+	for ctx.Err() == nil {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		tickets, err := c.first.NewTickets(ctx, service, 1)
+		if err != nil {
+			pause(ctx, askAgain)
+			continue
+		}
+		c.follow(ctx, tickets[0])
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// follow sends a job, in one of four cases through two entries at once, and
+// asks until it has ended.
+func (c *caller) follow(ctx context.Context, ticket cactuspost.Ticket) {
+	c.jobs++
+	s := &submission{id: ticket.ID, shared: c.rng.IntN(4) == 0}
+	job := c.newJob(s)
+	c.ledger.Send(jobBegun{})
+	double := make(chan *ending, 1)
+	if s.shared {
+		go func() { double <- untilEnd(ctx, c.second, s, job, nil) }()
+	}
+	first := untilEnd(ctx, c.first, s, job, &ticket)
+	if s.shared {
+		first = sterner(first, <-double)
+	}
+	if first != nil {
+		c.ledger.Send(&jobEnded{ending: *first})
+	}
+}
+
+// sterner returns the ending that promises more: a whole answer before a
+// failure, since both requests may not reach an owner that has ended.
+func sterner(a, b *ending) *ending {
+	switch {
+	case a == nil || b == nil:
+		return nil
+	case a.failure == nil && b.failure == nil && !slices.EqualFunc(a.results, b.results, slices.Equal):
+		return &ending{job: a.job, results: nil}
+	case a.failure == nil:
+		return a
+	case b.failure == nil || b.failure.Run == failure.NotRun:
+		return b
+	default:
+		return a
+	}
+}
+
+func (c *caller) newJob(s *submission) cactuspost.Job {
+	job := cactuspost.Job{Service: service}
+	for i := range 1 + c.rng.IntN(c.maxTasks) {
+		echo := fmt.Sprintf("caller-%d-job-%d-task-%d", c.index, c.jobs, i)
+		s.echoes = append(s.echoes, echo)
+		job.Tasks = append(job.Tasks, newTask(echo, c.sleep))
+	}
+	return job
+}
+
+func newTask(echo string, sleep time.Duration) cactuspost.Task {
+	payload, err := json.Marshal(standin.EndpointPayload{SleepMicros: sleep.Microseconds(), Echo: echo})
+	if err != nil {
+		panic(err)
+	}
+	return cactuspost.Task{Kind: kind, Payload: payload}
+}
+
+// passing are the kinds after which a job may still be open.
+var passing = []cactuspost.Kind{cactuspost.Unavailable, cactuspost.NoConfiguration}
+
+// untilEnd sends a job, and sends it again until its end is known. It returns
+// nil when the context has ended before.
+func untilEnd(ctx context.Context, client *cactuspost.Client, s *submission, job cactuspost.Job, ticket *cactuspost.Ticket) *ending {
+	for {
+		answer, err := send(ctx, client, s.id, job, ticket)
+		ticket = nil
+		if err == nil {
+			return &ending{job: s, results: answer.Results}
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		f := failure.Of(err)
+		if !slices.Contains(passing, f.Kind) || (f.Run == failure.NotRun && !s.shared) {
+			return &ending{job: s, failure: f}
+		}
+		pause(ctx, askAgain)
+	}
+}
+
+// send uses the ticket if there is one: its job was not sent before.
+func send(ctx context.Context, client *cactuspost.Client, id string, job cactuspost.Job, ticket *cactuspost.Ticket) (*cactuspost.Answer, error) {
+	if ticket != nil {
+		return client.Submit(ctx, *ticket, job)
+	}
+	return client.Resubmit(ctx, id, job)
+}
--- /dev/null
+++ b/test/faults/figures_test.go
@@ -0,0 +1,129 @@
+package faults
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"cactuspost.example/cactuspost"
+)
+
+// ending is how a job ended for its caller.
+type ending struct {
+	job     *submission
+	results [][]byte
+	// failure is nil for a complete job.
+	failure *cactuspost.Failure
+	at      time.Time
+}
+
+// submission is a job of a caller. Each task has an echo of its own.
+type submission struct {
+	id     string
+	echoes []string
+	// shared is set when the job was sent twice at the same time, so that the
+	// refusal of one request does not speak for the other.
+	shared bool
+}
+
+// figures counts what the callers and the endpoints saw.
+type figures struct {
+	Jobs, Complete, Failed, NotRun int
+	Submitted, Started             int
+	// The faults of the product: all of them have to be zero.
+	StartedTwice, Partial, Crossed, UntrueNotRun, Unended int
+	// Kinds counts the failed jobs by their failure.
+	Kinds map[cactuspost.Kind]int
+	// Examples describes the first faults found.
+	Examples []string
+}
+
+// examplesLimit bounds the descriptions of faults.
+const examplesLimit = 10
+
+// judge compares what callers were told with what endpoints have started.
+func judge(endings []ending, unended int, starts map[string]int) *figures {
+	f := &figures{Jobs: len(endings) + unended, Unended: unended, Kinds: map[cactuspost.Kind]int{}}
+	if unended > 0 {
+		f.example("%d jobs without an end", unended)
+	}
+	for echo, count := range starts {
+		f.Started++
+		if count > 1 {
+			f.StartedTwice++
+			f.example("task %s was started %d times", echo, count)
+		}
+	}
+	for i := range endings {
+		f.add(&endings[i], starts)
+	}
+	return f
+}
+
+func (f *figures) add(e *ending, starts map[string]int) {
+	f.Submitted += len(e.job.echoes)
+	if e.failure == nil {
+		f.Complete++
+		f.checkAnswer(e, starts)
+		return
+	}
+	f.Failed++
+	f.Kinds[e.failure.Kind]++
+	if e.failure.Run != cactuspost.NotRun {
+		return
+	}
+	f.NotRun++
+	if !speaksForJob(e) {
+		return
+	}
+	for _, echo := range e.job.echoes {
+		if starts[echo] > 0 {
+			f.UntrueNotRun++
+			f.example("job %s is said not to have run (%v), and %s has", e.job.id, e.failure, echo)
+			return
+		}
+	}
+}
+
+// speaksForJob reports whether a failure is the owner's word on the job, and
+// not only on one of two requests that were under way.
+func speaksForJob(e *ending) bool {
+	passing := e.failure.Kind == cactuspost.Unavailable || e.failure.Kind == cactuspost.NoConfiguration
+	return !e.job.shared || !passing
+}
+
+func (f *figures) checkAnswer(e *ending, starts map[string]int) {
+	if len(e.results) != len(e.job.echoes) {
+		f.Partial++
+		f.example("job %s has %d of %d results", e.job.id, len(e.results), len(e.job.echoes))
+		return
+	}
+	for i, echo := range e.job.echoes {
+		if string(e.results[i]) != echo {
+			f.Crossed++
+			f.example("job %s got %q for %q", e.job.id, e.results[i], echo)
+		}
+		if starts[echo] == 0 {
+			f.Partial++
+			f.example("job %s is complete, and %q never started", e.job.id, echo)
+		}
+	}
+}
+
+func (f *figures) example(format string, arguments ...any) {
+	if len(f.Examples) < examplesLimit {
+		f.Examples = append(f.Examples, fmt.Sprintf(format, arguments...))
+	}
+}
+
+// broken reports whether a promise was broken.
+func (f *figures) broken() bool {
+	return f.StartedTwice+f.Partial+f.Crossed+f.UntrueNotRun+f.Unended > 0
+}
+
+// String returns the counts on one line and the examples after it.
+func (f *figures) String() string {
+	line := fmt.Sprintf("jobs=%d complete=%d failed=%d not_run=%d tasks=%d started=%d started_twice=%d partial=%d crossed=%d untrue_not_run=%d unended=%d kinds=%v",
+		f.Jobs, f.Complete, f.Failed, f.NotRun, f.Submitted, f.Started, f.StartedTwice, f.Partial, f.Crossed, f.UntrueNotRun, f.Unended, f.Kinds)
+	return strings.Join(append([]string{line}, f.Examples...), "\n  ")
+}
--- /dev/null
+++ b/test/faults/ledger_test.go
@@ -0,0 +1,126 @@
+package faults
+
+import (
+	"context"
+	"time"
+
+	"cactuspost.example/internal/actor"
+)
+
+const (
+	ledgerInboxSize = 1024
+	// ledgerPeriod is how often the rate is looked at.
+	ledgerPeriod = 100 * time.Millisecond
+	// rateWindow is the time over which a rate is counted.
+	rateWindow = time.Second
+	// fullRate is the share of the rate before a fault that counts as recovered.
+	fullRate = 0.9
+)
+
+// ledger owns the endings of jobs and the rate at which tasks are completed.
+type ledger struct {
+	endings  []ending
+	begun    int
+	complete int
+	waiting  []*ledgerWait
+}
+
+// ledgerMessage is an input of the ledger.
+type ledgerMessage interface {
+	handle(l *ledger, now time.Time)
+}
+
+type (
+	jobBegun struct{}
+	jobEnded struct{ ending ending }
+	// ledgerWait is answered when as many more jobs are complete, or the rate is
+	// reached after the given time; reply has room for one.
+	ledgerWait struct {
+		complete int
+		rate     int
+		since    time.Time
+		reply    chan<- time.Time
+	}
+	rateAsked    struct{ reply chan<- int }
+	endingsAsked struct{ reply chan<- []ending }
+	unendedAsked struct{ reply chan<- int }
+)
+
+func startLedger(ctx context.Context) *actor.Inbox[ledgerMessage] {
+	inbox := actor.NewInbox[ledgerMessage](ledgerInboxSize)
+	go actor.Run(ctx, inbox, ledgerPeriod, &ledger{})
+	return inbox
+}
+
+// Handle implements actor.Handler.
+func (l *ledger) Handle(now time.Time, m ledgerMessage) bool {
+	m.handle(l, now)
+	return true
+}
+
+// Tick implements actor.Handler.
+func (l *ledger) Tick(now time.Time) bool {
+	l.answer(now)
+	return true
+}
+
+// Flush implements actor.Handler.
+func (l *ledger) Flush(now time.Time) { l.answer(now) }
+
+func (l *ledger) answer(now time.Time) {
+	var waiting []*ledgerWait
+	for _, w := range l.waiting {
+		if l.complete >= w.complete && l.reached(w, now) {
+			w.reply <- now
+			continue
+		}
+		waiting = append(waiting, w)
+	}
+	l.waiting = waiting
+}
+
+// reached looks at whole windows after the wait began.
+func (l *ledger) reached(w *ledgerWait, now time.Time) bool {
+	if w.rate == 0 {
+		return true
+	}
+	return now.Sub(w.since) >= rateWindow && l.rate(now) >= w.rate
+}
+
+// rate counts the tasks that were completed in the last window.
+func (l *ledger) rate(now time.Time) int {
+	tasks := 0
+	for i := len(l.endings) - 1; i >= 0 && now.Sub(l.endings[i].at) <= rateWindow; i-- {
+		if l.endings[i].failure == nil {
+			tasks += len(l.endings[i].job.echoes)
+		}
+	}
+	return tasks
+}
+
+func (jobBegun) handle(l *ledger, _ time.Time) { l.begun++ }
+
+func (m *jobEnded) handle(l *ledger, now time.Time) {
+	m.ending.at = now
+	l.endings = append(l.endings, m.ending)
+	if m.ending.failure == nil {
+		l.complete++
+	}
+}
+
+func (m *ledgerWait) handle(l *ledger, now time.Time) {
+	m.complete += l.complete
+	m.since = now
+	l.waiting = append(l.waiting, m)
+}
+
+func (m *rateAsked) handle(l *ledger, now time.Time)  { m.reply <- l.rate(now) }
+func (m *endingsAsked) handle(l *ledger, _ time.Time) { m.reply <- append([]ending(nil), l.endings...) }
+func (m *unendedAsked) handle(l *ledger, _ time.Time) { m.reply <- l.begun - len(l.endings) }
+
+// ask sends a question and returns its answer.
+func ask[T any](in *actor.Inbox[ledgerMessage], question func(chan<- T) ledgerMessage) T {
+	reply := make(chan T, 1)
+	in.Send(question(reply))
+	return <-reply
+}
--- /dev/null
+++ b/test/faults/logs_test.go
@@ -0,0 +1,28 @@
+package faults
+
+import (
+	"os"
+	"path/filepath"
+)
+
+// logTail is how much of each daemon's log a failed test shows, in bytes.
+const logTail = 4096
+
+// keepLogs shows the ends of the daemons' logs when the test has failed.
+func (b *bench) keepLogs(folder string) {
+	if !b.t.Failed() {
+		return
+	}
+	for _, a := range b.Agents {
+		_, body, err := b.operate("GET", a.URL()+"/v1/state", "")
+		b.t.Logf("%s: %s %v", a.Name, body, err)
+	}
+	files, _ := filepath.Glob(filepath.Join(folder, "*.log"))
+	for _, file := range files {
+		raw, _ := os.ReadFile(file)
+		if len(raw) > logTail {
+			raw = raw[len(raw)-logTail:]
+		}
+		b.t.Logf("%s:\n%s", filepath.Base(file), raw)
+	}
+}
