Entry daemon: an idle entry wakes ten times a second, a busy one a hundred times

Cause: with a fixed tick of 10 ms an entry without any connection spent 1.2 % of a core, all that control may cost.

--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"cactuspost.example/internal/actor"
 	"cactuspost.example/internal/dispatch"
 	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/structs"
@@ -19,8 +20,13 @@
 	Effects() []dispatch.Effect
 }
 
-// tickPeriod is how often the core sees the time pass when nothing arrives.
-const tickPeriod = 10 * time.Millisecond
+// How often the core sees the time pass.
+const (
+	// busyPeriod holds while messages arrive or callers wait.
+	busyPeriod = 10 * time.Millisecond
+	// idlePeriod holds otherwise: an idle entry hardly wakes.
+	idlePeriod = 100 * time.Millisecond
+)
 
 // coreInboxSize bounds the messages that wait for the core. At the bound a
 // caller is refused, an event loop that reads from agents waits, and a control
@@ -56,6 +62,9 @@
 // dropReadiness makes the entry not ready from now on.
 type dropReadiness struct{}
 
+// wake ends a busyPeriod.
+type wake struct{}
+
 // endCore ends the actor.
 type endCore struct{}
 
@@ -65,6 +74,7 @@
 func (*linkEnded) isCoreMessage()    {}
 func (*probe) isCoreMessage()        {}
 func (dropReadiness) isCoreMessage() {}
+func (wake) isCoreMessage()          {}
 func (endCore) isCoreMessage()       {}
 
 // readiness is what the core actor says to a probe.
@@ -80,20 +90,24 @@
 // queues of the event loops.
 type coreActor struct {
 	core    Core
+	inbox   *actor.Inbox[coreMessage]
 	log     *logging.Logger
 	callers map[dispatch.ReplyID]chan<- dispatch.Effect
 	links   map[dispatch.LinkID]*link
 	state   readiness
 	drained chan<- struct{}
-	// ended is set when the actor is to end after its effects.
-	ended bool
+	// active is set when a message has come since the last wake, armed while a
+	// wake is under way.
+	active bool
+	armed  bool
 }
 
 // newCoreActor returns an actor that reports the end of the planned stop on
 // drained, which has room for one message.
-func newCoreActor(core Core, log *logging.Logger, drained chan<- struct{}) *coreActor {
+func newCoreActor(core Core, inbox *actor.Inbox[coreMessage], log *logging.Logger, drained chan<- struct{}) *coreActor {
 	return &coreActor{
 		core:    core,
+		inbox:   inbox,
 		log:     log,
 		callers: map[dispatch.ReplyID]chan<- dispatch.Effect{},
 		links:   map[dispatch.LinkID]*link{},
@@ -101,8 +115,24 @@
 	}
 }
 
-// Handle passes one message to the dispatcher.
+// Handle processes one message.
 func (a *coreActor) Handle(now time.Time, m coreMessage) bool {
+	switch m.(type) {
+	case wake:
+		a.active = false
+		a.armed = false
+		a.core.Tick(now)
+	case endCore:
+		return false
+	default:
+		a.active = true
+		a.step(now, m)
+	}
+	return true
+}
+
+// step passes one message to the dispatcher.
+func (a *coreActor) step(now time.Time, m coreMessage) {
 	switch m := m.(type) {
 	case *call:
 		a.callers[m.reply] = m.answer
@@ -120,11 +150,7 @@
 		m.answer <- a.state
 	case dropReadiness:
 		a.state.leaving = true
-	case endCore:
-		a.ended = true
-		return false
 	}
-	return true
 }
 
 // note keeps what readiness depends on.
@@ -146,6 +172,16 @@
 	for _, effect := range a.core.Effects() {
 		a.carryOut(effect)
 	}
+	a.arm()
+}
+
+// arm has the dispatcher see the time soon if there is work in progress.
+func (a *coreActor) arm() {
+	if a.armed || (!a.active && len(a.callers) == 0) {
+		return
+	}
+	a.armed = true
+	time.AfterFunc(busyPeriod, func() { a.inbox.Send(wake{}) })
 }
 
 func (a *coreActor) carryOut(effect dispatch.Effect) {
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -158,9 +158,9 @@
 		ReadHeaderTimeout: peerHeaderTimeout,
 	}
 	d.shutdown = newShutdown(ctx, p, config)
-	coreActor := newCoreActor(config.NewCore(self, config.Seed), config.Log, p.drained)
+	coreActor := newCoreActor(config.NewCore(self, config.Seed), p.core, config.Log, p.drained)
 	peersActor := &peersActor{ctx: ctx, self: self.Incarnation, asker: p.peerClient, log: config.Log, inbox: p.peers}
-	go actor.Run(ctx, p.core, tickPeriod, coreActor)
+	go actor.Run(ctx, p.core, idlePeriod, coreActor)
 	go actor.Run(ctx, p.peers, peersPeriod, peersActor)
 	go p.front.serve()
 	go d.servePeers(bound.peer, config)
--- a/internal/entryd/front_test.go
+++ b/internal/entryd/front_test.go
@@ -187,7 +187,7 @@
 	inbox := actor.NewInbox[coreMessage](8)
 	is.True(inbox.TrySend(endCore{}))
 	core := &fakeCore{step: func(dispatch.Message) []dispatch.Effect { return nil }}
-	actor.Run(t.Context(), inbox, time.Hour, newCoreActor(core, nil, nil))
+	actor.Run(t.Context(), inbox, time.Hour, newCoreActor(core, inbox, nil, nil))
 	j := &jobs{self: 1, calls: &calls{inbox: inbox}}
 	_, refusal := j.await(structs.JobID{Owner: 1, Seq: 1}, "rivage", time.Hour)
 	is.Equal(refusal.Kind, failure.Unavailable)
