--- a/internal/entryd/link.go
+++ b/internal/entryd/link.go
@@ -75,8 +75,8 @@
 		"close_socket":    (*link).closeSocket,
 		"report_frame":    func(l *link) { l.report(event.BadFrameFromAgent) },
 		"report_message":  func(l *link) { l.report(event.BadMessageFromAgent) },
-		"report_silence":  func(l *link) { l.report(event.LinkSilent) },
-		"report_overflow": func(l *link) { l.report(event.LinkOverflow) },
+		"report_silence":  func(l *link) { l.report(event.AgentLinkSilent) },
+		"report_overflow": func(l *link) { l.report(event.AgentLinkOverflow) },
 	},
 }
 
@@ -98,7 +98,7 @@
 }
 
 func init() {
-	connectionChart = chart.MustCompile(charts.Files, "connection", connectionBindings)
+	connectionChart = chart.MustCompile(charts.Files, "inbound", connectionBindings)
 	connectionChart.MustNames(&connectionEvents)
 	connectionChart.MustNames(&connectionStates)
 }
--- a/internal/entryd/links_test.go
+++ b/internal/entryd/links_test.go
@@ -92,11 +92,11 @@
 	d := start(t, config)
 	agent := dial(t, d)
 	agent.closed() // also before a hello
-	watch.await(event.LinkSilent)
+	watch.await(event.AgentLinkSilent)
 	agent = dial(t, d)
 	agent.send(hello())
 	agent.closed()
-	watch.await(event.LinkSilent)
+	watch.await(event.AgentLinkSilent)
 	is.Equal(len(d.parts.drained), 0)
 }
 
@@ -171,7 +171,7 @@
 		is.True(!conn.closed)
 	}
 	l.send(message)
-	watch.await(event.LinkOverflow)
+	watch.await(event.AgentLinkOverflow)
 	is.True(conn.closed)
 	is.Equal(conn.sent, 3)
 	l.stopBeats()
--- a/internal/release/errors.go
+++ b/internal/release/errors.go
@@ -3,10 +3,17 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
+	"github.com/pkg/errors"
+
+	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
 )
 
+// retryAfter is when an operator may publish a note again that met an outage.
+const retryAfter = 5 * time.Second
+
 // Fault is one thing wrong with a release note.
 type Fault struct {
 	// Key is the path of the value, such as "added.services.recession.target".
@@ -112,7 +119,7 @@
 
 // Unwrap returns the failure that callers of the system see.
 func (e *UnappliedError) Unwrap() error {
-	return failure.Wrap(e.Cause, failure.Unavailable, failure.NotRun, "the note was not applied")
+	return failure.Wrap(e.Cause, failure.Unavailable, failure.NotRun, "the note was not applied").WithRetry(retryAfter)
 }
 
 // UnknownError says that the note may or may not have been applied. Publishing
@@ -126,7 +133,7 @@
 
 // Unwrap returns the failure that callers of the system see.
 func (e *UnknownError) Unwrap() error {
-	return failure.Wrap(e.Cause, failure.Unavailable, failure.Unknown, "unknown whether the note was applied")
+	return failure.Wrap(e.Cause, failure.Unavailable, failure.Unknown, "unknown whether the note was applied").WithRetry(retryAfter)
 }
 
 // RowError reports a row of the configuration that can't be read.
@@ -157,3 +164,16 @@
 	}
 	return strings.Join(all, ", ")
 }
+
+// EventOf returns the event that a call of Publish with this error is logged
+// as; nil stands for success.
+func EventOf(err error) event.ID {
+	var unknown *UnknownError
+	switch {
+	case err == nil:
+		return event.NoteAccepted
+	case errors.As(err, &unknown):
+		return event.NoteOutcomeUnknown
+	}
+	return event.NoteRefused
+}
