Entry daemon: heartbeats without news stay in the event loop; links beat in 16 phases

Cause: each idle heartbeat woke the core, whose Flush visits every session, and each link's timer woke its event loop by itself.

--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -152,7 +152,7 @@
 		pprof:       config.Pprof,
 		notes:       config.Notes,
 		report:      config.Report,
-	}, bound.http, jobs, cluster, config.Log)
+	}, bound.http, jobs, cluster, p.links, config.Log)
 	p.peerServer = &http.Server{
 		Handler:           peer.NewHandler(self.Incarnation, jobs),
 		ReadHeaderTimeout: peerHeaderTimeout,
--- a/internal/entryd/front.go
+++ b/internal/entryd/front.go
@@ -62,6 +62,7 @@
 	jobs     *jobs
 	calls    *calls
 	cluster  *cluster
+	links    *linkServer
 	log      *logging.Logger
 	routes   []route
 	metrics  *metrics.Set
@@ -72,12 +73,13 @@
 	leaving chan struct{}
 }
 
-func newFront(options frontOptions, listener net.Listener, jobs *jobs, cluster *cluster, log *logging.Logger) *front {
+func newFront(options frontOptions, listener net.Listener, jobs *jobs, cluster *cluster, links *linkServer, log *logging.Logger) *front {
 	f := &front{
 		options:  options,
 		jobs:     jobs,
 		calls:    cluster.calls,
 		cluster:  cluster,
+		links:    links,
 		log:      log,
 		metrics:  metrics.NewSet(),
 		listener: lingerListener{listener},
--- a/internal/entryd/link.go
+++ b/internal/entryd/link.go
@@ -49,11 +49,14 @@
 	// received is the message that an event brings, and fault its failure.
 	received *structs.FromAgent
 	fault    error
+	// lastIdle and lastRevision are what the dispatcher was told last.
+	lastIdle     uint32
+	lastRevision uint64
 	// quietBeats counts the periods since the last frame.
 	quietBeats int
 	sentLately bool
-	period     time.Duration
 	beats      *time.Timer
+	server     *linkServer
 }
 
 // connectionChart is compiled in init: its actions fire events at it.
@@ -63,12 +66,14 @@
 	Guards: map[string]func(*link) bool{
 		"silent":      func(l *link) bool { return l.quietBeats >= silentBeats-1 },
 		"sent_lately": func(l *link) bool { return l.sentLately },
+		"nothing_new": func(l *link) bool { return l.received.Idle == l.lastIdle && l.received.Revision == l.lastRevision },
 		"introduced":  func(l *link) bool { return l.introduced },
 	},
 	Actions: map[string]func(*link){
 		"introduce":       (*link).introduce,
 		"forward":         (*link).forward,
 		"forward_end":     (*link).forwardEnd,
+		"count_heartbeat": func(l *link) { l.server.heartbeats.Add(1) },
 		"count_beat":      (*link).countBeat,
 		"send_heartbeat":  (*link).sendHeartbeat,
 		"stop_beats":      (*link).stopBeats,
@@ -83,6 +88,7 @@
 var connectionEvents struct {
 	Hello     chart.Event `chart:"hello"`
 	Message   chart.Event `chart:"message"`
+	Heartbeat chart.Event `chart:"heartbeat"`
 	BadFrame  chart.Event `chart:"bad_frame"`
 	Beat      chart.Event `chart:"beat"`
 	Overflow  chart.Event `chart:"overflow"`
@@ -103,12 +109,29 @@
 	connectionChart.MustNames(&connectionStates)
 }
 
-func newLink(id dispatch.LinkID, conn gnet.Conn, inbox *actor.Inbox[coreMessage], log *logging.Logger, period time.Duration) *link {
-	l := &link{id: id, conn: conn, inbox: inbox, log: log, period: period, state: connectionChart.Initial()}
-	l.beats = time.AfterFunc(period, func() { l.run(l.beat) })
+func newLink(id dispatch.LinkID, conn gnet.Conn, server *linkServer) *link {
+	l := &link{id: id, conn: conn, server: server, inbox: server.inbox, log: server.log, state: connectionChart.Initial()}
+	l.beats = time.AfterFunc(l.untilBeat(time.Now()), func() { l.run(l.beat) })
 	return l
 }
 
+// beatPhases is the number of moments in a period at which links beat. Links
+// that share one wake their event loop once, and the others are not delayed by
+// the heartbeats of all at a time.
+const beatPhases = 16
+
+// untilBeat returns the time to the link's next moment, half a period to one
+// and a half.
+func (l *link) untilBeat(now time.Time) time.Duration {
+	period := l.server.options.period
+	phase := period * time.Duration(l.id%beatPhases) / beatPhases
+	wait := period - (time.Duration(now.UnixNano())-phase)%period
+	if wait < period/2 {
+		wait += period
+	}
+	return wait
+}
+
 func (l *link) fire(e chart.Event) { connectionChart.Fire(&l.state, e, l) }
 
 // run has the event loop of the link call f. After the end of the loop it does
@@ -175,30 +198,46 @@
 		l.fire(connectionEvents.BadFrame)
 	case l.received.Hello != nil:
 		l.fire(connectionEvents.Hello)
+	case isBare(l.received):
+		l.fire(connectionEvents.Heartbeat)
 	default:
 		l.fire(connectionEvents.Message)
 	}
 	l.received = nil
 }
 
+// isBare reports whether a message has nothing but what every message has.
+func isBare(m *structs.FromAgent) bool {
+	return m.Heartbeat && !m.Leaving && m.Config == nil &&
+		len(m.Results) == 0 && len(m.Refusals) == 0 &&
+		m.Offered.Total() == 0 && m.Revoked.Total() == 0
+}
+
 // introduce makes the link known to the core actor. A full inbox makes the event
 // loop wait, and so the agents that send too much.
 func (l *link) introduce() {
 	l.introduced = true
+	l.remember()
 	l.inbox.Send(&linkHello{link: l, hello: l.received})
 }
 
 func (l *link) forward() {
+	l.remember()
 	l.inbox.Send(&input{message: &dispatch.AgentMessage{Link: l.id, Message: l.received}})
 }
 
+func (l *link) remember() {
+	l.lastIdle = l.received.Idle
+	l.lastRevision = l.received.Revision
+}
+
 func (l *link) forwardEnd() { l.inbox.Send(&linkEnded{id: l.id}) }
 
 // beat is called once every heartbeat period.
 func (l *link) beat() {
 	l.fire(connectionEvents.Beat)
 	if l.state == connectionStates.Opened || l.state == connectionStates.Greeted {
-		l.beats.Reset(l.period)
+		l.beats.Reset(l.untilBeat(time.Now()))
 	}
 }
 
--- a/internal/entryd/links.go
+++ b/internal/entryd/links.go
@@ -38,8 +38,10 @@
 	log     *logging.Logger
 	engine  gnet.Engine
 	lastID  atomic.Uint64
-	booted  chan struct{}
-	ended   chan error
+	// heartbeats counts the frames that told nothing new.
+	heartbeats atomic.Uint64
+	booted     chan struct{}
+	ended      chan error
 }
 
 // startLinks listens for agents and returns when connections are accepted.
@@ -115,7 +117,7 @@
 		return nil, gnet.Close
 	}
 	id := dispatch.LinkID(s.lastID.Add(1))
-	conn.SetContext(newLink(id, conn, s.inbox, s.log, s.options.period))
+	conn.SetContext(newLink(id, conn, s))
 	return nil, gnet.None
 }
 
--- a/internal/entryd/links_test.go
+++ b/internal/entryd/links_test.go
@@ -131,7 +131,8 @@
 }
 
 func greetedLink(conn *stubConn, log *logging.Logger) *link {
-	l := newLink(1, conn, actor.NewInbox[coreMessage](64), log, time.Hour)
+	server := &linkServer{options: linkOptions{period: time.Hour}, inbox: actor.NewInbox[coreMessage](64), log: log}
+	l := newLink(1, conn, server)
 	l.received = hello()
 	l.fire(connectionEvents.Hello)
 	return l
@@ -159,6 +160,24 @@
 	l.stopBeats()
 }
 
+func TestHeartbeatsReachTheDispatcherOnlyWithNews(t *testing.T) {
+	is := is.New(t)
+	l := greetedLink(&stubConn{}, logging.Discard())
+	defer l.stopBeats()
+	hear := func(m *structs.FromAgent) int {
+		before := l.inbox.Len()
+		l.handleFrame(frameOf(is, m)[wire.HeaderBytes:])
+		return l.inbox.Len() - before
+	}
+	is.Equal(hear(&structs.FromAgent{Heartbeat: true}), 0)
+	is.Equal(hear(&structs.FromAgent{Heartbeat: true, Revision: 2}), 1)
+	is.Equal(hear(&structs.FromAgent{Heartbeat: true, Revision: 2}), 0)
+	is.Equal(hear(&structs.FromAgent{Heartbeat: true, Revision: 2, Idle: 1}), 1)
+	is.Equal(hear(&structs.FromAgent{Heartbeat: true, Revision: 2, Idle: 1, Leaving: true}), 1)
+	is.Equal(hear(&structs.FromAgent{Revision: 2, Idle: 1, Offered: structs.Credits{Any: 1}}), 1)
+	is.Equal(l.server.heartbeats.Load(), uint64(2))
+}
+
 func TestAgentThatDoesNotReadLosesItsLink(t *testing.T) {
 	is := is.New(t)
 	watch, log := watchEvents()
