Settings: no lease_ms

Cause: the key was read and used by nobody; all instances use one lease time (registry.LeaseTime), since a list that is read with another one would call living instances gone. An unknown key is an error, so the key is removed rather than kept without effect. Its check in the test of faults stays, now as an unknown key.

--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -19,9 +19,7 @@
 	Advertise Addresses
 	// TableAddress is the platform's table service, IP:port.
 	TableAddress string
-	// Lease is how long the instance counts as alive after its last renewal.
-	Lease  time.Duration
-	Limits Limits
+	Limits       Limits
 	// Callers may submit jobs, each for its team.
 	Callers []Caller
 	// Operators may see all endpoints and apply release notes.
@@ -68,9 +66,6 @@
 
 // Bounds and defaults of the entry's settings.
 const (
-	minLeaseMS             = 1_000
-	maxLeaseMS             = 600_000
-	defaultLeaseMS         = 10_000
 	minBodyBytes           = 1 << 10
 	maxBodyBytes           = 64 << 20
 	defaultBodyBytes       = 8 << 20
@@ -90,7 +85,6 @@
 		LinkAddress:  o.text("link_address", listenRule),
 		PeerAddress:  o.text("peer_address", listenRule),
 		TableAddress: o.text("table_address", reachableRule),
-		Lease:        millis(o.integerOr("lease_ms", defaultLeaseMS, minLeaseMS, maxLeaseMS)),
 		Limits:       readLimits(o.child("limits")),
 		Pprof:        o.boolean("pprof"),
 		DrainTimeout: millis(o.integerOr("drain_timeout_ms", 0, 0, maxDrainTimeoutMS)),
