Jobs of a replaced entry fail at once; faults at every point of a job

Fault found by TestKilledOwnerAtEveryPoint: after the owner was killed and started again, its jobs were 'unavailable' through any entry until the id expired, instead of failed. Cause: the roster drops the replaced row at the next listing (3 s), and an owner that is not listed can't be asked for at its address. Ruled out: the peers' connections (the log has no 'peer unreachable'), the library's retries (the refusal names the list). The roster now hands out the rows that later ones replace, and the owner's address is asked, where another incarnation answers. No clock decides.

--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -209,6 +209,9 @@
 	d.parts.peers.Send(&setPeers{peers: peers})
 }
 
+// setFormer replaces the list of entries that later ones have replaced.
+func (d *Daemon) setFormer(peers []structs.Peer) { d.parts.peers.Send(&setFormer{peers: peers}) }
+
 // Stop begins the planned stop: the entry is no longer ready, then refuses new
 // submissions, finishes its open jobs and answers every request in progress. It
 // returns at once; asking again changes nothing.
--- a/internal/entryd/peers.go
+++ b/internal/entryd/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -34,6 +35,9 @@
 // setPeers replaces the list of entries.
 type setPeers struct{ peers []structs.Peer }
 
+// setFormer replaces the list of entries whose addresses later ones serve.
+type setFormer struct{ peers []structs.Peer }
+
 // passedOn is a request for another entry's job.
 type passedOn struct {
 	request *peer.Request
@@ -49,11 +53,12 @@
 // endPeers ends the actor.
 type endPeers struct{}
 
-func (*setPeers) isPeerMessage() {}
-func (*passedOn) isPeerMessage() {}
-func (*collect) isPeerMessage()  {}
-func (askEnded) isPeerMessage()  {}
-func (endPeers) isPeerMessage()  {}
+func (*setPeers) isPeerMessage()  {}
+func (*setFormer) isPeerMessage() {}
+func (*passedOn) isPeerMessage()  {}
+func (*collect) isPeerMessage()   {}
+func (askEnded) isPeerMessage()   {}
+func (endPeers) isPeerMessage()   {}
 
 // outcome is what a caller is told: one of its fields is set.
 type outcome struct {
@@ -70,12 +75,15 @@
 // peersActor owns the list of entries and passes requests on to owners. Each
 // request to an owner has a goroutine of its own, which answers the caller.
 type peersActor struct {
-	ctx    context.Context
-	self   structs.Incarnation
-	asker  asker
-	log    *logging.Logger
-	inbox  *actor.Inbox[peerMessage]
-	list   []structs.Peer
+	ctx   context.Context
+	self  structs.Incarnation
+	asker asker
+	log   *logging.Logger
+	inbox *actor.Inbox[peerMessage]
+	list  []structs.Peer
+	// former are entries that later ones have replaced; their jobs are asked for
+	// at their addresses, where another incarnation answers.
+	former []structs.Peer
 	asking int
 }
 
@@ -84,6 +92,8 @@
 	switch m := m.(type) {
 	case *setPeers:
 		a.list = m.peers
+	case *setFormer:
+		a.former = m.peers
 	case *passedOn:
 		a.passOn(now, m)
 	case *collect:
@@ -103,7 +113,7 @@
 func (a *peersActor) Flush(time.Time) {}
 
 func (a *peersActor) passOn(now time.Time, m *passedOn) {
-	decision := ownership.Locate(a.self, m.request.Job, now, a.list)
+	decision := ownership.Locate(a.self, m.request.Job, now, slices.Concat(a.list, a.former))
 	if decision.Verdict != ownership.Ask {
 		m.answer <- decided(m.request.Job, decision)
 		return
--- a/internal/registry/messages.go
+++ b/internal/registry/messages.go
@@ -70,9 +70,14 @@
 // Publish hands out a new list of instances.
 type Publish struct{ Peers []structs.Peer }
 
-func (Write) isEffect()    {}
-func (Read) isEffect()     {}
-func (Remove) isEffect()   {}
-func (Happened) isEffect() {}
-func (CleanUp) isEffect()  {}
-func (Publish) isEffect()  {}
+// PublishFormer hands out a new list of instances whose addresses are served by
+// later ones.
+type PublishFormer struct{ Peers []structs.Peer }
+
+func (Write) isEffect()         {}
+func (Read) isEffect()          {}
+func (Remove) isEffect()        {}
+func (Happened) isEffect()      {}
+func (CleanUp) isEffect()       {}
+func (Publish) isEffect()       {}
+func (PublishFormer) isEffect() {}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -29,6 +29,9 @@
 	// Peers gets each new list of live instances, this one included. It is
 	// called on the registry's goroutine and must not block for long.
 	Peers func([]structs.Peer)
+	// Former gets each new list of instances that ended and whose addresses a
+	// later one serves, as Peers does. Nil means that nobody needs it.
+	Former func([]structs.Peer)
 	// Report gets the events for the log, as Peers does.
 	Report func(id event.ID, detail string)
 	// Now is the clock that is read for the answer of each call.
@@ -118,12 +121,20 @@
 			r.cleanUp(e.Entry)
 		case Publish:
 			r.options.Peers(e.Peers)
+		case PublishFormer:
+			r.publishFormer(e)
 		case Happened:
 			r.options.Report(e.Event, e.Detail)
 		}
 	}
 }
 
+func (r *Registry) publishFormer(e PublishFormer) {
+	if r.options.Former != nil {
+		r.options.Former(e.Peers)
+	}
+}
+
 func (r *Registry) write(w Write) {
 	value, err := encode(w.Record)
 	if err != nil {
--- a/internal/registry/roster.go
+++ b/internal/registry/roster.go
@@ -41,6 +41,7 @@
 	// known says that peers is from the table.
 	known    bool
 	peers    []structs.Peer
+	former   []structs.Peer
 	rows     []Entry
 	returned time.Time
 	now      time.Time
@@ -116,10 +117,32 @@
 			peers = append(peers, e.Record.Peer)
 		}
 	}
+	sortPeers(peers)
+	r.publish(peers)
+	r.publishFormer()
+}
+
+// publishFormer hands out the instances whose addresses a later one serves.
+// Their rows are kept for as long as a job of theirs could be asked for.
+func (r *Roster) publishFormer() {
+	var former []structs.Peer
+	for _, e := range r.rows {
+		if !r.isSelf(e.Record.Peer) && r.superseded(e) {
+			former = append(former, e.Record.Peer)
+		}
+	}
+	sortPeers(former)
+	if slices.Equal(former, r.former) {
+		return
+	}
+	r.former = former
+	r.effects = append(r.effects, PublishFormer{Peers: slices.Clone(former)})
+}
+
+func sortPeers(peers []structs.Peer) {
 	slices.SortFunc(peers, func(a, b structs.Peer) int {
 		return strings.Compare(a.Incarnation.String(), b.Incarnation.String())
 	})
-	r.publish(peers)
 }
 
 // superseded reports whether a later incarnation serves the same address.
--- a/internal/registry/roster_test.go
+++ b/internal/registry/roster_test.go
@@ -98,3 +98,25 @@
 	}
 	is.Equal(removed, CleanupLimit)
 }
+
+func TestRosterTellsOfReplacedInstances(t *testing.T) {
+	is := is.New(t)
+	r := NewRoster(peer(1))
+	old, successor := entryOf(2, epoch.Add(LeaseTime)), entryOf(3, epoch.Add(LeaseTime))
+	successor.Record.Peer.LinkAddress = old.Record.Peer.LinkAddress
+	successor.Record.StartedMS++
+	rows := []Entry{old, successor}
+	former := PublishFormer{Peers: []structs.Peer{old.Record.Peer}}
+	r.Listed(epoch, rows)
+	effects := r.Effects()
+	is.Equal(published(effects), []structs.Incarnation{1, 3})
+	is.Equal(effects[len(effects)-1], former)
+	r.Listed(epoch, rows)
+	is.Equal(len(r.Effects()), 0) // nothing changed
+	// The row outlives the lease, and so does the knowledge.
+	r.Listed(epoch.Add(LeaseTime+ClockMargin), rows[:1])
+	r.Effects()
+	r.Listed(epoch.Add(LeaseTime+ClockMargin), rows)
+	effects = r.Effects()
+	is.Equal(effects[len(effects)-1], former)
+}
--- a/test/faults/bench_test.go
+++ b/test/faults/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -26,6 +27,11 @@
 	// lifetime is that of the load's jobs: an owner that is lost for good holds
 	// its callers for so long.
 	lifetime = 8 * time.Second
+	// longService is for jobs that no test waits to expire.
+	longService  = "booking"
+	longLifetime = time.Minute
+	// benchLimit bounds the systems that run at the same time.
+	benchLimit = 2
 )
 
 // bench is one running system with its load.
@@ -52,9 +58,16 @@
 
 var small = size{entries: 2, agents: 3, slots: 4}
 
-// startBench starts a system with one service and waits until it is ready.
+// places has room for the systems that run at the same time.
+var places = make(chan bool, benchLimit)
+
+// startBench starts a system with its services and waits until it is ready. It
+// waits for its turn among the tests that run in parallel.
 func startBench(t *testing.T, s size) *bench {
 	t.Helper()
+	t.Parallel()
+	places <- true
+	t.Cleanup(func() { <-places })
 	folder := t.TempDir()
 	ctx, cancel := context.WithTimeout(context.Background(), watchdog)
 	c, err := cluster.Start(cluster.Options{
@@ -82,9 +95,16 @@
 
 func (b *bench) firstNote(lifetime time.Duration) string {
 	return fmt.Sprintf(`{"id": "first", "author": "tester", "summary": "Open the service.", "base": 0, "added": {
-  "services": {%q: {"pool": %q, "start_objective_ms": 600000, "target": 0.9, "lifetime_ms": %d, "task_limit_ms": %d}},
-  "teams": {%q: {"quotas": {%q: 1}}, %q: {"quotas": {%q: 1}}}}}`,
-		service, cluster.Pool, lifetime.Milliseconds(), lifetime.Milliseconds(), cluster.Team, service, cluster.OtherTeam, service)
+  "services": {%s},
+  "teams": {%q: {"quotas": {%q: 1, %q: 1}}, %q: {"quotas": {%q: 1, %q: 1}}}}}`,
+		strings.Join([]string{serviceOf(service, lifetime), serviceOf(longService, longLifetime)}, ", "),
+		cluster.Team, service, longService, cluster.OtherTeam, service, longService)
+}
+
+// serviceOf returns a service as it stands in a note.
+func serviceOf(name string, lifetime time.Duration) string {
+	return fmt.Sprintf(`%q: {"pool": %q, "start_objective_ms": 600000, "target": 0.9, "lifetime_ms": %d, "task_limit_ms": %d}`,
+		name, cluster.Pool, lifetime.Milliseconds(), lifetime.Milliseconds())
 }
 
 // until looks again until the condition holds; the watchdog fails the test.
--- /dev/null
+++ b/test/faults/points_test.go
@@ -0,0 +1,126 @@
+package faults
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cactuspost.example/cactuspost"
+)
+
+// point is a moment in the life of a job.
+type point string
+
+const (
+	created  point = "created"
+	waiting  point = "waiting"
+	running  point = "running"
+	answered point = "answered"
+)
+
+var points = []point{created, waiting, running, answered}
+
+// pointSleep is long enough for a fault to hit a running task.
+const pointSleep = 300 * time.Millisecond
+
+// reach brings a job of two tasks to a point, on a system with one slot.
+func (b *bench) reach(p point, client *cactuspost.Client, name string) *flight {
+	b.t.Helper()
+	if p == waiting {
+		blocker := b.prepare(client, name+"-blocker", 1, pointSleep)
+		started := b.Agents[0].Endpoint.Totals().Started
+		blocker.submit(client)
+		b.Agents[0].Endpoint.AwaitStarts(started + 1)
+		b.callers.Go(func() { blocker.note(<-blocker.done) })
+	}
+	f := b.prepare(client, name, 2, pointSleep)
+	if p == created {
+		return f
+	}
+	started := b.Agents[0].Endpoint.Totals().Started
+	f.submit(client)
+	switch p {
+	case waiting:
+		f.awaitWaiting(client)
+	case running:
+		b.Agents[0].Endpoint.AwaitStarts(started + 1)
+	case answered:
+		e := <-f.done
+		b.is.True(e != nil && e.failure == nil)
+		f.done <- e
+	}
+	return f
+}
+
+var oneSlot = size{entries: 2, agents: 1, slots: 1}
+
+// TestKilledOwnerAtEveryPoint kills the owner of a job at each point, starts it
+// again, and sends the job again through the other entry and the new owner.
+func TestKilledOwnerAtEveryPoint(t *testing.T) {
+	b := startBench(t, oneSlot)
+	owner, other := b.newClient(0), b.newClient(1)
+	for _, p := range points {
+		f := b.reach(p, owner, "owner-"+string(p))
+		b.Entries[0].Kill()
+		b.injected("entry killed", 1)
+		b.is.NoErr(b.Entries[0].Start())
+		b.awaitEntry(0)
+		for _, client := range []*cactuspost.Client{other, owner} {
+			again := f.resubmit(client)
+			b.is.True(again != nil && again.failure != nil)      // nobody else may run the job
+			b.is.Equal(again.failure.Kind, cactuspost.OwnerLost) // at once, not when the id expires
+			b.is.True(again.failure.Run != cactuspost.NotRun)    // nobody else can know
+		}
+		if p == created {
+			f.submit(other)
+		}
+		f.end()
+	}
+	b.finish()
+}
+
+// TestKilledAgentAtEveryPoint kills the agent at each point and starts it again.
+// What had not started is done by its next life; the rest is a failure.
+func TestKilledAgentAtEveryPoint(t *testing.T) {
+	b := startBench(t, oneSlot)
+	owner := b.newClient(0)
+	for _, p := range points {
+		f := b.reach(p, owner, "agent-"+string(p))
+		b.Agents[0].Kill()
+		b.injected("agent killed", 1)
+		b.is.NoErr(b.Agents[0].Start())
+		b.awaitEntry(0)
+		if p == created {
+			f.submit(owner)
+		}
+		e := f.end()
+		b.is.Equal(e.failure != nil, p == running)
+	}
+	b.finish()
+}
+
+// TestResubmissionAtEveryPoint sends a job again at each point, through its
+// owner and through the other entry at the same time.
+func TestResubmissionAtEveryPoint(t *testing.T) {
+	b := startBench(t, oneSlot)
+	owner, other := b.newClient(0), b.newClient(1)
+	for round := range 2 {
+		for _, p := range points {
+			f := b.reach(p, owner, fmt.Sprintf("again-%d-%s", round, p))
+			again := make(chan *ending, 2)
+			for _, client := range []*cactuspost.Client{owner, other} {
+				go func() { again <- f.resubmit(client) }()
+				b.injected("resubmission", 1)
+			}
+			first, second := <-again, <-again
+			if p == created {
+				f.submit(other)
+			}
+			e := f.end()
+			b.is.True(e.failure == nil)
+			b.is.Equal(first, e)
+			b.is.Equal(second, e)
+		}
+	}
+	b.finish()
+}
