--- /dev/null
+++ b/test/faults/drain_test.go
@@ -0,0 +1,91 @@
+package faults
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cactuspost.example/cactuspost"
+)
+
+// leaveTime is after how long a leaving endpoint receives nothing new.
+const leaveTime = 2 * time.Second
+
+// longTask outlives leaveTime.
+const longTask = 3 * time.Second
+
+// TestDrainedEndpoints stops each agent under load, by SIGTERM, while long tasks
+// run at its endpoint. Every job completes, and no task starts there after two
+// seconds.
+func TestDrainedEndpoints(t *testing.T) {
+	b := startBench(t, small)
+	b.startLoad(crowd)
+	client := b.newClient(0)
+	slowest, late := time.Duration(0), uint64(0)
+	for i, a := range b.Agents {
+		b.launchLong(client, fmt.Sprintf("drain-%d", i), small.slots)
+		a.Terminate()
+		b.injected("agent stopped", 1)
+		pause(b.ctx, leaveTime)
+		before := a.Endpoint.Totals().Started
+		b.awaitEnd(a.Ended())
+		late += a.Endpoint.Totals().Started - before
+		b.is.NoErr(a.Start())
+		slowest = max(slowest, b.awaitRate())
+	}
+	f := b.finish()
+	t.Logf("started late=%d slowest recovery %v", late, slowest)
+	b.is.Equal(late, uint64(0))
+	b.is.Equal(f.Failed, 0)
+}
+
+// launchLong has a job of long tasks started and noted at its end.
+func (b *bench) launchLong(client *cactuspost.Client, name string, tasks int) {
+	b.t.Helper()
+	f := b.prepare(client, name, tasks, longTask)
+	f.submit(client)
+	b.until("the long tasks run", func() bool {
+		starts := b.Starts()
+		for _, echo := range f.s.echoes {
+			if starts[echo] == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	b.callers.Go(func() {
+		if e := <-f.done; e != nil {
+			f.note(e)
+		}
+	})
+}
+
+func (b *bench) awaitEnd(ended <-chan struct{}) {
+	b.t.Helper()
+	select {
+	case <-ended:
+	case <-b.ctx.Done():
+		b.t.Fatal("watchdog: a planned stop did not end")
+	}
+}
+
+// TestDrainedEntries stops each entry under load, by SIGTERM, while long tasks
+// of its jobs run. No job that has started is cut off.
+func TestDrainedEntries(t *testing.T) {
+	b := startBench(t, small)
+	b.startLoad(crowd)
+	slowest := time.Duration(0)
+	for i, e := range b.Entries {
+		b.launchLong(b.newClient(i), fmt.Sprintf("stop-%d", i), small.slots)
+		e.Terminate()
+		b.injected("entry stopped", 1)
+		b.awaitEnd(e.Ended())
+		b.is.NoErr(e.Start())
+		slowest = max(slowest, b.awaitRate())
+		b.awaitEntry(i)
+	}
+	f := b.finish()
+	t.Logf("cut off=%d slowest recovery %v", f.CutOff, slowest)
+	b.is.Equal(f.CutOff, 0)
+	b.is.Equal(f.Failed, f.NotRun)
+}
--- a/test/faults/figures_test.go
+++ b/test/faults/figures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -32,6 +33,9 @@
 	Submitted, Started             int
 	// The faults of the product: all of them have to be zero.
 	StartedTwice, Partial, Crossed, UntrueNotRun, Unended int
+	// CutOff counts the failed jobs of which a task had started. Only a planned
+	// stop has to leave it zero.
+	CutOff int
 	// Kinds counts the failed jobs by their failure.
 	Kinds map[cactuspost.Kind]int
 	// Examples describes the first faults found.
@@ -68,6 +72,9 @@
 		return
 	}
 	f.Failed++
+	if anyStarted(e.job, starts) {
+		f.CutOff++
+	}
 	f.Kinds[e.failure.Kind]++
 	if e.failure.Run != cactuspost.NotRun {
 		return
@@ -76,15 +83,16 @@
 	if !speaksForJob(e) {
 		return
 	}
-	for _, echo := range e.job.echoes {
-		if starts[echo] > 0 {
-			f.UntrueNotRun++
-			f.example("job %s is said not to have run (%v), and %s has", e.job.id, e.failure, echo)
-			return
-		}
+	if anyStarted(e.job, starts) {
+		f.UntrueNotRun++
+		f.example("job %s is said not to have run (%v), and a task of it has", e.job.id, e.failure)
 	}
 }
 
+func anyStarted(job *submission, starts map[string]int) bool {
+	return slices.ContainsFunc(job.echoes, func(echo string) bool { return starts[echo] > 0 })
+}
+
 // speaksForJob reports whether a failure is the owner's word on the job, and
 // not only on one of two requests that were under way.
 func speaksForJob(e *ending) bool {
@@ -123,7 +131,7 @@
 
 // String returns the counts on one line and the examples after it.
 func (f *figures) String() string {
-	line := fmt.Sprintf("jobs=%d complete=%d failed=%d not_run=%d tasks=%d started=%d started_twice=%d partial=%d crossed=%d untrue_not_run=%d unended=%d kinds=%v",
-		f.Jobs, f.Complete, f.Failed, f.NotRun, f.Submitted, f.Started, f.StartedTwice, f.Partial, f.Crossed, f.UntrueNotRun, f.Unended, f.Kinds)
+	line := fmt.Sprintf("jobs=%d complete=%d failed=%d not_run=%d tasks=%d started=%d started_twice=%d partial=%d crossed=%d untrue_not_run=%d unended=%d cut_off=%d kinds=%v",
+		f.Jobs, f.Complete, f.Failed, f.NotRun, f.Submitted, f.Started, f.StartedTwice, f.Partial, f.Crossed, f.UntrueNotRun, f.Unended, f.CutOff, f.Kinds)
 	return strings.Join(append([]string{line}, f.Examples...), "\n  ")
 }
--- /dev/null
+++ b/test/faults/operators_test.go
@@ -0,0 +1,244 @@
+package faults
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/release"
+	"cactuspost.example/internal/standin"
+)
+
+const (
+	operatorCount = 4
+	notesEach     = 3
+)
+
+// accepted is a note that an operator was told to be in force.
+type accepted struct {
+	service  string
+	revision uint64
+	at       time.Time
+}
+
+// TestRacingOperators lets operators change the configuration at the same time,
+// through different entries, while the table loses answers after their effect.
+// Every accepted note is in force everywhere and stays, and none is lost.
+func TestRacingOperators(t *testing.T) {
+	b := startBench(t, small)
+	b.startLoad(crowd)
+	watch := startWatch(b)
+	notes := make(chan accepted, operatorCount*notesEach)
+	done := make(chan bool, operatorCount)
+	for i := range operatorCount {
+		go func() {
+			for n := range notesEach {
+				notes <- b.change(i, n)
+			}
+			done <- true
+		}()
+	}
+	for range operatorCount {
+		<-done
+	}
+	close(notes)
+	var all []accepted
+	for a := range notes {
+		all = append(all, a)
+	}
+	slowest := watch.awaitEverywhere(all)
+	b.is.Equal(watch.stop(), 0) // revisions that went back
+	b.checkDocument(all)
+	f := b.finish()
+	t.Logf("accepted=%d reverted=0 slowest in force everywhere=%v", len(all), slowest)
+	b.is.Equal(f.Failed, 0)
+}
+
+// change adds a service in a note of its own and returns when it is accepted.
+// A conflict makes the operator look again; a lost answer, send again.
+func (b *bench) change(operator, n int) accepted {
+	entry := b.Entries[operator%len(b.Entries)]
+	name := fmt.Sprintf("service-%d-%d", operator, n)
+	for attempt := 0; b.ctx.Err() == nil; attempt++ {
+		base, ok := b.inForce(entry.URL())
+		if !ok {
+			pause(b.ctx, lookAgain)
+			continue
+		}
+		note := fmt.Sprintf(`{"id": "%s-try-%d", "author": "operator-%d", "summary": "Add %s.", "base": %d, "added": {"services": {%s}}}`,
+			name, attempt, operator, name, base.Document.Revision, serviceOf(name, lifetime))
+		b.Table.SetFaults(standin.Faults{LoseAnswers: 1})
+		if revision, ok := b.propose(entry.URL(), note); ok {
+			return accepted{service: name, revision: revision, at: time.Now()}
+		}
+		pause(b.ctx, lookAgain)
+	}
+	return accepted{}
+}
+
+// propose sends a note until its fate is known, and reports false for a
+// conflict.
+func (b *bench) propose(url, note string) (uint64, bool) {
+	for b.ctx.Err() == nil {
+		status, body, err := b.operate(http.MethodPost, url+api.NotesPath, note)
+		var answer release.Accepted
+		switch {
+		case err == nil && status == http.StatusOK && json.Unmarshal(body, &answer) == nil:
+			return answer.Revision, true
+		case err == nil && status == http.StatusConflict:
+			return 0, false
+		}
+		pause(b.ctx, lookAgain)
+	}
+	return 0, false
+}
+
+// inForce returns what an entry says is in force.
+func (b *bench) inForce(url string) (*release.InForce, bool) {
+	status, body, err := b.operate(http.MethodGet, url+api.NotesPath, "")
+	var answer struct {
+		InForce *release.InForce `json:"in_force"`
+	}
+	if err != nil || status != http.StatusOK || json.Unmarshal(body, &answer) != nil || answer.InForce == nil {
+		return nil, false
+	}
+	return answer.InForce, true
+}
+
+// checkDocument compares what is in force with what was accepted.
+func (b *bench) checkDocument(all []accepted) {
+	b.t.Helper()
+	last := slices.MaxFunc(all, func(x, y accepted) int { return int(x.revision) - int(y.revision) }).revision
+	for _, e := range b.Entries {
+		b.until("the last revision is in force", func() bool {
+			inForce, ok := b.inForce(e.URL())
+			return ok && inForce.Document.Revision >= last
+		})
+		inForce, _ := b.inForce(e.URL())
+		for _, a := range all {
+			_, kept := inForce.Document.Services[a.service]
+			b.is.True(kept) // an accepted note stays in force
+		}
+	}
+	seen := map[uint64]bool{}
+	for _, a := range all {
+		b.is.True(!seen[a.revision]) // each note makes a revision of its own
+		seen[a.revision] = true
+	}
+}
+
+// watch looks at the revision of every process again and again.
+type watch struct {
+	b *bench
+	// reached receives each revision with the time when all had it.
+	asked chan watchQuestion
+	ended chan int
+}
+
+type watchQuestion struct {
+	all   []accepted
+	reply chan<- time.Duration
+}
+
+// watchState is owned by the watch's goroutine.
+type watchState struct {
+	revisions []uint64
+	// everywhere is when a revision was first seen everywhere.
+	everywhere map[uint64]time.Time
+	reverted   int
+}
+
+func startWatch(b *bench) *watch {
+	w := &watch{b: b, asked: make(chan watchQuestion), ended: make(chan int)}
+	go w.run()
+	return w
+}
+
+func (w *watch) run() {
+	state := &watchState{revisions: make([]uint64, len(w.b.Entries)+len(w.b.Agents)), everywhere: map[uint64]time.Time{}}
+	var questions []watchQuestion
+	for w.b.ctx.Err() == nil {
+		state.look(w.b)
+		questions = slices.DeleteFunc(questions, state.answer)
+		select {
+		case q := <-w.asked:
+			questions = append(questions, q)
+		case w.ended <- state.reverted:
+			return
+		case <-time.After(lookAgain):
+		}
+	}
+}
+
+func (s *watchState) look(b *bench) {
+	for i := range b.Entries {
+		if view, ok := b.view(i); ok {
+			s.saw(i, view.Revision)
+		}
+	}
+	for i, a := range b.Agents {
+		status, body, err := b.operate(http.MethodGet, a.URL()+"/v1/state", "")
+		var view agent.View
+		if err == nil && status == http.StatusOK && json.Unmarshal(body, &view) == nil {
+			s.saw(len(b.Entries)+i, view.Revision)
+		}
+	}
+	now := time.Now()
+	for r := slices.Min(s.revisions); r > 0 && s.everywhere[r].IsZero(); r-- {
+		s.everywhere[r] = now
+	}
+}
+
+func (s *watchState) saw(process int, revision uint64) {
+	if revision < s.revisions[process] {
+		s.reverted++
+	}
+	s.revisions[process] = revision
+}
+
+// answer reports whether every revision of the question is in force everywhere.
+func (s *watchState) answer(q watchQuestion) bool {
+	slowest := time.Duration(0)
+	for _, a := range q.all {
+		at := s.everywhere[a.revision]
+		if at.IsZero() {
+			return false
+		}
+		slowest = max(slowest, at.Sub(a.at))
+	}
+	q.reply <- slowest
+	return true
+}
+
+// awaitEverywhere returns the longest time from an acceptance until the
+// revision was in force everywhere.
+func (w *watch) awaitEverywhere(all []accepted) time.Duration {
+	w.b.t.Helper()
+	reply := make(chan time.Duration, 1)
+	select {
+	case w.asked <- watchQuestion{all: all, reply: reply}:
+	case <-w.b.ctx.Done():
+	}
+	select {
+	case slowest := <-reply:
+		return slowest
+	case <-w.b.ctx.Done():
+		w.b.t.Fatal("watchdog: a revision is not in force everywhere")
+		return 0
+	}
+}
+
+// stop ends the watch and returns how often a revision went back.
+func (w *watch) stop() int {
+	select {
+	case reverted := <-w.ended:
+		return reverted
+	case <-w.b.ctx.Done():
+		return -1
+	}
+}
