--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -211,7 +211,9 @@
 		return
 	}
 	c.fireSession(s, sessionEvents.LinkLost, nil)
-	c.happened(event.AgentLost, s.endpoint, "")
+	if !c.leaving() {
+		c.happened(event.AgentLost, s.endpoint, "")
+	}
 }
 
 func (c *Core) fireSession(s *session, e chart.Event, hello *structs.Hello) {
@@ -290,6 +292,7 @@
 	t.lane.adjust(r.RunTime - t.cost)
 	switch r.Outcome {
 	case structs.Succeeded:
+		c.accountResult(s, t, r)
 		s.learnSlowness(t.kind, r.RunTime)
 		t.kind.observe(r.RunTime)
 		c.fireHealth(s, healthEvents.Succeeded)
--- a/internal/entryd/front_test.go
+++ b/internal/entryd/front_test.go
@@ -128,9 +128,10 @@
 	is := is.New(t)
 	d := start(t, testConfig())
 	agent := greet(t, d)
-	done := sendBeside(d, "POST", "/v1/submit?wait_ms=1", callerToken, oneTask)
+	path := createAt(is, d)
+	is.Equal(mustSend(is, d, "PUT", path+"?wait_ms=1", callerToken, oneTask).job(is).State, "open")
 	g := agent.grant()
-	answer := (<-done).job(is)
+	answer := mustSend(is, d, "GET", path+"?wait_ms=1", callerToken, "").job(is)
 	is.Equal(answer.State, "open")
 	is.Equal(answer.Running, 1)
 	agent.finish(g, "later")
@@ -187,7 +188,7 @@
 	inbox := actor.NewInbox[coreMessage](8)
 	is.True(inbox.TrySend(endCore{}))
 	core := &fakeCore{step: func(dispatch.Message) []dispatch.Effect { return nil }}
-	actor.Run(t.Context(), inbox, time.Hour, newCoreActor(core, nil, nil))
+	actor.Run(t.Context(), inbox, time.Hour, newCoreActor(core, inbox, nil, nil))
 	j := &jobs{self: 1, calls: &calls{inbox: inbox}}
 	_, refusal := j.await(structs.JobID{Owner: 1, Seq: 1}, "rivage", time.Hour)
 	is.Equal(refusal.Kind, failure.Unavailable)
