--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -28,7 +28,8 @@
 	session LinkID
 	// greeted is set from the welcome to the end of the connection.
 	greeted bool
-	// entryLeaving says that the entry sends no more grants.
+	// entryLeaving says that the entry gets credits only as far as it asks for
+	// them: its accepted jobs are finished, and no new ones come.
 	entryLeaving bool
 
 	retry    *backoff.ExponentialBackOff
--- a/internal/agent/slot.go
+++ b/internal/agent/slot.go
@@ -105,10 +105,6 @@
 func (c *Core) takeDemand(l *link, d *structs.Demand) {
 	l.demand = *d
 	l.headSince = c.now.Add(-d.HeadAge)
-	if l.entryLeaving {
-		l.demand = structs.Demand{}
-		return
-	}
 	need := int(l.wanted()) - c.count(slotStates.Free) - int(l.credits.Total())
 	for _, s := range c.slots {
 		if need <= 0 {
@@ -216,7 +212,7 @@
 	var best *link
 	for _, l := range c.links {
 		wants := l.demand.Short > 0 || (!reserved && l.demand.Long > 0)
-		if !wants || !l.takesCredits() {
+		if !wants || l.state != linkStates.Up {
 			continue
 		}
 		if best == nil || l.headSince.Before(best.headSince) {
@@ -226,6 +222,8 @@
 	return best
 }
 
+// takesCredits reports whether the entry gets credits that it has not asked
+// for.
 func (l *link) takesCredits() bool { return l.state == linkStates.Up && !l.entryLeaving }
 
 func (l *link) consumeDemand(reserved bool) {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -204,7 +204,8 @@
 
 func (c *Core) leaving() bool { return c.drain != drainChart.Initial() }
 
-// announceDrain tells the agents that no more grants will come.
+// announceDrain tells the agents to keep their unused credits for others. What
+// waits here is asked for by demand.
 func (c *Core) announceDrain() {
 	for _, s := range c.links {
 		s.message().Leaving = true
--- a/internal/structs/link.go
+++ b/internal/structs/link.go
@@ -106,8 +106,9 @@
 	Peers []Peer
 	// Heartbeat is set on messages that only show that the entry lives.
 	Heartbeat bool
-	// Leaving says that the entry sends no more grants and closes the link when
-	// the tasks that it started have ended.
+	// Leaving says that the entry takes no new jobs and closes the link when
+	// those that it accepted have ended. It gives back its unused credits, and
+	// its demand says what it still needs.
 	Leaving bool
 }
 
--- a/test/faults/drain_test.go
+++ b/test/faults/drain_test.go
@@ -85,7 +85,7 @@
 		b.awaitEntry(i)
 	}
 	f := b.finish()
-	t.Logf("cut off=%d slowest recovery %v", f.CutOff, slowest)
+	t.Logf("cut off=%d slowest recovery %v %q", f.CutOff, slowest, f.Cuts)
 	b.is.Equal(f.CutOff, 0)
 	b.is.Equal(f.Failed, f.NotRun)
 }
--- a/test/faults/figures_test.go
+++ b/test/faults/figures_test.go
@@ -36,6 +36,8 @@
 	// CutOff counts the failed jobs of which a task had started. Only a planned
 	// stop has to leave it zero.
 	CutOff int
+	// Cuts describes some of them.
+	Cuts []string
 	// Kinds counts the failed jobs by their failure.
 	Kinds map[cactuspost.Kind]int
 	// Examples describes the first faults found.
@@ -74,6 +76,7 @@
 	f.Failed++
 	if anyStarted(e.job, starts) {
 		f.CutOff++
+		f.Cuts = append(f.Cuts, fmt.Sprintf("%s %v shared=%t at %s", e.job.id, e.failure, e.job.shared, e.at.Format("15:04:05.000")))
 	}
 	f.Kinds[e.failure.Kind]++
 	if e.failure.Run != cactuspost.NotRun {
--- a/test/faults/points_test.go
+++ b/test/faults/points_test.go
@@ -23,8 +23,12 @@
 // pointSleep is long enough for a fault to hit a running task.
 const pointSleep = 300 * time.Millisecond
 
-// reach brings a job of two tasks to a point, on a system with one slot.
-func (b *bench) reach(p point, client *cactuspost.Client, name string) *flight {
+// tasksPastSettling keep one slot busy for longer than a stopping entry goes on
+// as before.
+const tasksPastSettling = 8
+
+// reach brings a job to a point, on a system with one slot.
+func (b *bench) reach(p point, client *cactuspost.Client, name string, tasks int) *flight {
 	b.t.Helper()
 	if p == waiting {
 		blocker := b.prepare(client, name+"-blocker", 1, pointSleep)
@@ -33,7 +37,7 @@
 		b.Agents[0].Endpoint.AwaitStarts(started + 1)
 		b.callers.Go(func() { blocker.note(<-blocker.done) })
 	}
-	f := b.prepare(client, name, 2, pointSleep)
+	f := b.prepare(client, name, tasks, pointSleep)
 	if p == created {
 		return f
 	}
@@ -60,7 +64,7 @@
 	b := startBench(t, oneSlot)
 	owner, other := b.newClient(0), b.newClient(1)
 	for _, p := range points {
-		f := b.reach(p, owner, "owner-"+string(p))
+		f := b.reach(p, owner, "owner-"+string(p), 2)
 		b.Entries[0].Kill()
 		b.injected("entry killed", 1)
 		b.is.NoErr(b.Entries[0].Start())
@@ -85,7 +89,7 @@
 	b := startBench(t, oneSlot)
 	owner := b.newClient(0)
 	for _, p := range points {
-		f := b.reach(p, owner, "agent-"+string(p))
+		f := b.reach(p, owner, "agent-"+string(p), 2)
 		b.Agents[0].Kill()
 		b.injected("agent killed", 1)
 		b.is.NoErr(b.Agents[0].Start())
@@ -106,7 +110,7 @@
 	owner, other := b.newClient(0), b.newClient(1)
 	for round := range 2 {
 		for _, p := range points {
-			f := b.reach(p, owner, fmt.Sprintf("again-%d-%s", round, p))
+			f := b.reach(p, owner, fmt.Sprintf("again-%d-%s", round, p), 2)
 			again := make(chan *ending, 2)
 			for _, client := range []*cactuspost.Client{owner, other} {
 				go func() { again <- f.resubmit(client) }()
@@ -124,3 +128,20 @@
 	}
 	b.finish()
 }
+
+// TestStoppedOwnerAtEveryPoint stops the owner of a job by SIGTERM at each
+// point and starts it again when it has ended. What it had accepted completes.
+func TestStoppedOwnerAtEveryPoint(t *testing.T) {
+	b := startBench(t, oneSlot)
+	owner := b.newClient(0)
+	for _, p := range []point{waiting, running, answered} {
+		f := b.reach(p, owner, "stopped-"+string(p), tasksPastSettling)
+		b.Entries[0].Terminate()
+		b.injected("entry stopped", 1)
+		b.is.Equal(f.end().failure, nil)
+		b.awaitEnd(b.Entries[0].Ended())
+		b.is.NoErr(b.Entries[0].Start())
+		b.awaitEntry(0)
+	}
+	b.is.Equal(b.finish().Failed, 0)
+}
