--- a/internal/agentd/connection.go
+++ b/internal/agentd/connection.go
@@ -98,7 +98,7 @@
 func (c *connection) send(now time.Time, m *structs.FromAgent) {
 	frames, err := encode(m)
 	if err != nil {
-		c.owner.log.Event(event.MessageNotEncoded, zap.String("entry", c.address), zap.Error(err))
+		c.owner.log.Event(event.MessageNotEncoded, zap.String("entry", c.address), zap.String("error", err.Error()))
 		c.fire(connectionEvents.Close)
 		return
 	}
--- a/internal/agentd/probe.go
+++ b/internal/agentd/probe.go
@@ -130,6 +130,6 @@
 }
 
 func (p *probe) reportDown() {
-	p.log.Event(event.EndpointDown, zap.String("endpoint", p.endpoint), zap.Error(p.err))
+	p.log.Event(event.EndpointDown, zap.String("endpoint", p.endpoint), zap.String("error", p.err.Error()))
 	p.core.Send(coreInput{message: &agent.EndpointChanged{Up: false}})
 }
--- a/internal/agentd/traffic.go
+++ b/internal/agentd/traffic.go
@@ -63,7 +63,7 @@
 		more, err := t.next(conn, s)
 		if err != nil {
 			t.counters.badFrames.Inc()
-			t.log.Event(event.BadFrameFromEntry, zap.Stringer("entry", conn.RemoteAddr()), zap.Error(err))
+			t.log.Event(event.BadFrameFromEntry, zap.Stringer("entry", conn.RemoteAddr()), zap.String("error", err.Error()))
 			return gnet.Close
 		}
 		if !more {
