--- a/internal/agentd/core.go
+++ b/internal/agentd/core.go
@@ -16,7 +16,7 @@
 	// room; the core never waits for any of them.
 	coreInboxSize = 4096
 	// corePeriod is the time between two calls of Tick.
-	corePeriod = 10 * time.Millisecond
+	corePeriod = 25 * time.Millisecond
 )
 
 // decisions is the pure state machine behind the core; *agent.Core is the one
--- a/internal/agentd/links.go
+++ b/internal/agentd/links.go
@@ -20,7 +20,7 @@
 	// dials do.
 	linksInboxSize = 4096
 	// linksPeriod is the time between two checks of heartbeats and writes.
-	linksPeriod = 50 * time.Millisecond
+	linksPeriod = 100 * time.Millisecond
 	// heartbeatInterval is how long a link may be without a message from here.
 	heartbeatInterval = time.Second
 	// silenceLimit is how long a link may be without a message from the entry.
--- a/internal/agentd/probe.go
+++ b/internal/agentd/probe.go
@@ -23,7 +23,7 @@
 	// probeInboxSize bounds the hints that wait; senders drop those over it.
 	probeInboxSize = 64
 	// probePeriod is the resolution of the times below.
-	probePeriod = 100 * time.Millisecond
+	probePeriod = 250 * time.Millisecond
 	// probeInterval is the time between two checks of an endpoint that is idle.
 	probeInterval = time.Second
 	// probeTimeout bounds one check.
