--- a/internal/entryd/links.go
+++ b/internal/entryd/links.go
@@ -38,8 +38,10 @@
 	log     *logging.Logger
 	engine  gnet.Engine
 	lastID  atomic.Uint64
-	booted  chan struct{}
-	ended   chan error
+	// heartbeats counts the frames that told nothing new.
+	heartbeats atomic.Uint64
+	booted     chan struct{}
+	ended      chan error
 }
 
 // startLinks listens for agents and returns when connections are accepted.
@@ -63,8 +65,8 @@
 
 func (s *linkServer) run() {
 	err := gnet.Run(s, "tcp://"+s.options.address,
-		// An entry that restarts takes its address back although connections of its
-		// earlier life still fade out.
+		// A killed entry leaves connections in the state TIME_WAIT; its next life
+		// listens on the same address all the same.
 		gnet.WithReuseAddr(true),
 		gnet.WithNumEventLoop(s.options.loops),
 		gnet.WithLoadBalancing(gnet.LeastConnections),
@@ -118,7 +120,7 @@
 		return nil, gnet.Close
 	}
 	id := dispatch.LinkID(s.lastID.Add(1))
-	conn.SetContext(newLink(id, conn, s.inbox, s.log, s.options.period))
+	conn.SetContext(newLink(id, conn, s))
 	return nil, gnet.None
 }
 
