--- a/internal/entryd/daemon_test.go
+++ b/internal/entryd/daemon_test.go
@@ -141,3 +141,74 @@
 	}
 	is.True(d.Self().Incarnation != structs.Incarnation(0))
 }
+
+// TestPlannedStopUnderLoad has clients do as the balancer does: they send only
+// while the entry is ready. One job stays open until the last of them has seen
+// that it is not, so that no client races the closing of the listener.
+func TestPlannedStopUnderLoad(t *testing.T) {
+	is := is.New(t)
+	const clients = 20
+	d := start(t, testConfig())
+	agent := greet(t, d)
+	anchor := sendBeside(d, "POST", "/v1/submit?wait_ms=60000", callerToken, oneTask)
+	held := agent.grant()
+	go agent.serve(held.ID)
+	ends := make(chan error, clients)
+	served := make(chan struct{}, 1<<16)
+	for range clients {
+		go func() { ends <- submitWhileReady(d, served) }()
+	}
+	for range 5 * clients {
+		<-served
+	}
+	d.Stop()
+	for range clients {
+		is.NoErr(<-ends)
+	}
+	agent.finish(held, "last")
+	is.Equal((<-anchor).job(is).Results, [][]byte{[]byte("last")})
+	d.Wait()
+}
+
+// submitWhileReady submits jobs over one kept connection for as long as the
+// entry is ready. Each is answered, or refused for the planned stop.
+func submitWhileReady(d *Daemon, served chan<- struct{}) error {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	for {
+		ready, err := exchange(client, d, "GET", "/readyz", "")
+		if err != nil || ready.status != http.StatusOK {
+			return err
+		}
+		r, err := exchange(client, d, "POST", "/v1/submit?wait_ms=60000", oneTask)
+		if err != nil {
+			return err
+		}
+		answer, err := api.DecodeAnswer(r.body)
+		if r.status == http.StatusOK && (err != nil || !answer.Complete()) {
+			return failure.Newf(failure.Internal, failure.Unknown, "answer %s", r.body)
+		}
+		if f := api.DecodeFailure(r.status, r.body, ""); r.status != http.StatusOK && f.Kind != failure.Draining {
+			return f
+		}
+		served <- struct{}{}
+	}
+}
+
+// BenchmarkSubmission measures one-task jobs from an HTTP submission to the
+// answer, over kept connections and an agent that answers at once.
+func BenchmarkSubmission(b *testing.B) {
+	d := start(b, testConfig())
+	go greet(b, d).serve(structs.GrantID{})
+	b.RunParallel(func(pb *testing.PB) {
+		client := &http.Client{Transport: &http.Transport{}}
+		defer client.CloseIdleConnections()
+		for pb.Next() {
+			r, err := exchange(client, d, "POST", "/v1/submit?wait_ms=60000", oneTask)
+			if err != nil || r.status != http.StatusOK {
+				b.Error(err, r)
+				return
+			}
+		}
+	})
+}
--- a/internal/entryd/fake_test.go
+++ b/internal/entryd/fake_test.go
@@ -106,7 +106,7 @@
 }
 
 // start runs an entry for one test.
-func start(t *testing.T, config Config) *Daemon {
+func start(t testing.TB, config Config) *Daemon {
 	t.Helper()
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -144,6 +144,16 @@
 
 // send makes one HTTP request on a connection of its own.
 func send(d *Daemon, method, path, token, body string) (*reply, error) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return sendBy(client, d, method, path, token, body)
+}
+
+// exchange is send for a caller that keeps its connection.
+func exchange(client *http.Client, d *Daemon, method, path, body string) (*reply, error) {
+	return sendBy(client, d, method, path, callerToken, body)
+}
+
+func sendBy(client *http.Client, d *Daemon, method, path, token, body string) (*reply, error) {
 	request, err := http.NewRequest(method, "http://"+d.Self().HTTPAddress+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return nil, err
@@ -151,7 +161,6 @@
 	if token != "" {
 		request.Header.Set("Authorization", api.Authorization(token))
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
 		return nil, err
@@ -174,7 +183,7 @@
 	is *is.I
 }
 
-func dial(t *testing.T, d *Daemon) *rawAgent {
+func dial(t testing.TB, d *Daemon) *rawAgent {
 	t.Helper()
 	a := &rawAgent{is: is.NewRelaxed(t)} // agents may run in goroutines of their own
 	conn, err := net.Dial("tcp", d.Self().LinkAddress)
@@ -194,7 +203,7 @@
 }
 
 // greet opens a link and offers eight slots.
-func greet(t *testing.T, d *Daemon) *rawAgent {
+func greet(t testing.TB, d *Daemon) *rawAgent {
 	t.Helper()
 	a := dial(t, d)
 	a.send(hello())
@@ -205,25 +214,41 @@
 
 func (a *rawAgent) send(m *structs.FromAgent) {
 	a.is.Helper()
+	a.is.NoErr(a.write(m))
+}
+
+// write may be called by several goroutines at a time.
+func (a *rawAgent) write(m *structs.FromAgent) error {
 	frame, err := wire.AppendFromAgent(nil, m)
-	a.is.NoErr(err)
+	if err != nil {
+		return err
+	}
 	_, err = a.Write(frame)
-	a.is.NoErr(err)
+	return err
 }
 
 func (a *rawAgent) receive() *structs.FromEntry {
 	a.is.Helper()
-	header := make([]byte, wire.HeaderBytes)
-	_, err := io.ReadFull(a, header)
+	m, err := a.next()
 	a.is.NoErr(err)
+	return m
+}
+
+// next reads one message; it fails when the link ends.
+func (a *rawAgent) next() (*structs.FromEntry, error) {
+	header := make([]byte, wire.HeaderBytes)
+	if _, err := io.ReadFull(a, header); err != nil {
+		return nil, err
+	}
 	size, err := wire.FrameLength(header)
-	a.is.NoErr(err)
+	if err != nil {
+		return nil, err
+	}
 	body := make([]byte, size)
-	_, err = io.ReadFull(a, body)
-	a.is.NoErr(err)
-	m, err := wire.DecodeFromEntry(body)
-	a.is.NoErr(err)
-	return m
+	if _, err := io.ReadFull(a, body); err != nil {
+		return nil, err
+	}
+	return wire.DecodeFromEntry(body)
 }
 
 // closed waits for the entry to end the connection.
@@ -252,6 +277,27 @@
 	a.send(&structs.FromAgent{Results: []structs.Result{{Grant: g.ID, Payload: []byte(result)}}})
 }
 
+// serve echoes the payload of every grant but one, and gives the slot back,
+// until the link ends.
+func (a *rawAgent) serve(held structs.GrantID) {
+	for {
+		m, err := a.next()
+		if err != nil {
+			return
+		}
+		answer := &structs.FromAgent{Revision: 1}
+		for _, g := range m.Grants {
+			if g.ID != held {
+				answer.Results = append(answer.Results, structs.Result{Grant: g.ID, Payload: g.Payload})
+				answer.Offered.Any++
+			}
+		}
+		if len(answer.Results) > 0 && a.write(answer) != nil {
+			return
+		}
+	}
+}
+
 // eventWatch collects the numbers of logged events.
 type eventWatch struct{ ids chan event.ID }
 
--- a/internal/entryd/front.go
+++ b/internal/entryd/front.go
@@ -129,11 +129,23 @@
 // handle answers one request.
 func (f *front) handle(ctx *fasthttp.RequestCtx) {
 	began := time.Now()
-	name := f.dispatch(ctx)
+	name := f.dispatchSafely(ctx)
 	f.closeIfLeaving(ctx)
 	f.count(name, ctx.Response.StatusCode(), time.Since(began))
 }
 
+// dispatchSafely keeps a fault in one request from ending the jobs of all.
+func (f *front) dispatchSafely(ctx *fasthttp.RequestCtx) (name string) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			name = unmatched
+			f.log.Event(event.RequestFault, zap.Any("fault", fault), zap.Stack("stack"))
+			f.refuse(ctx, failure.New(failure.Internal, failure.Unknown, "a fault of the entry"))
+		}
+	}()
+	return f.dispatch(ctx)
+}
+
 func (f *front) dispatch(ctx *fasthttp.RequestCtx) string {
 	if int(f.server.GetOpenConnectionsCount()) > f.options.limits.MaxConnections {
 		f.log.Event(event.ConnectionsAtLimit)
--- a/internal/entryd/front_test.go
+++ b/internal/entryd/front_test.go
@@ -1,10 +1,12 @@
 package entryd
 
 import (
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -108,6 +110,34 @@
 	is.Equal(len(reached), 1)
 }
 
+func TestTLSAndFaultsInOneRequest(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewTLSServer(nil) // lends its certificate and a client that trusts it
+	defer server.Close()
+	watch, log := watchEvents()
+	config := testConfig()
+	config.Log = log
+	config.TLS = &tls.Config{Certificates: server.TLS.Certificates}
+	config.Report = func(OperatorRequest) ([]byte, *failure.Failure) { panic("report") }
+	d := start(t, config)
+	request := func(method, path, token, body string) *reply {
+		r, err := http.NewRequest(method, "https://"+d.Self().HTTPAddress+path, strings.NewReader(body))
+		is.NoErr(err)
+		r.Header.Set("Authorization", api.Authorization(token))
+		answer, err := server.Client().Do(r)
+		is.NoErr(err)
+		defer answer.Body.Close()
+		raw, err := io.ReadAll(answer.Body)
+		is.NoErr(err)
+		return &reply{status: answer.StatusCode, body: raw}
+	}
+	huge := strings.Repeat("x", config.Limits.MaxBody+1)
+	is.Equal(request("POST", "/v1/submit", callerToken, huge).failure(is).Kind, failure.TooLarge)
+	is.Equal(request("GET", "/v1/report", operatorToken, "").failure(is).Kind, failure.Internal)
+	watch.await(event.RequestFault)
+	is.Equal(request("HEAD", "/readyz", callerToken, "").status, http.StatusOK)
+}
+
 func TestConnectionsBeyondTheLimitAreRefused(t *testing.T) {
 	is := is.New(t)
 	config := testConfig()
--- a/internal/entryd/routes.go
+++ b/internal/entryd/routes.go
@@ -63,6 +63,9 @@
 func (f *front) find(ctx *fasthttp.RequestCtx) (*route, *failure.Failure) {
 	path := string(ctx.Path())
 	method := string(ctx.Method())
+	if ctx.IsHead() {
+		method = http.MethodGet // the server leaves the body out
+	}
 	known := false
 	for i := range f.routes {
 		r := &f.routes[i]
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -20,6 +20,7 @@
 	PeerUnreachable     ID = 1030
 	PeerReplaced        ID = 1031
 	PeerRejected        ID = 1032
+	RequestFault        ID = 1033
 )
 
 var entryEvents = []Description{
@@ -41,4 +42,5 @@
 	{PeerUnreachable, Warning, "peer unreachable", "A request was to be passed on to the entry that owns its job, which could not be reached; the caller was told to ask again.", "Check that entry and the network between the entries."},
 	{PeerReplaced, Warning, "peer replaced", "The address of a job's owner answers as another incarnation; the job was reported failed with an unknown outcome.", "Look for crashes of that entry if it repeats."},
 	{PeerRejected, Warning, "peer rejected", "A request passed on by another entry was rejected: it was meant for another incarnation, or its message is broken.", "None, if it follows the replacement of an entry; else check that all entries have the same release."},
+	{RequestFault, Fault, "request fault", "An HTTP request met a fault of the entry; its caller was told that the outcome is unknown.", "Report it with the fields of the event."},
 }
