Entry daemon: refusals on a job's path don't say not run unless the dispatcher does

Cause: a resubmission with a wrong token or a broken body was refused with "not run", although the job of that id may have run before. Such refusals, and those of requests whose path could not be read, now say unknown.

--- a/internal/entryd/front.go
+++ b/internal/entryd/front.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -150,17 +151,17 @@
 	if int(f.server.GetOpenConnectionsCount()) > f.options.limits.MaxConnections {
 		f.log.Event(event.ConnectionsAtLimit)
 		ctx.SetConnectionClose()
-		f.refuse(ctx, failure.New(failure.TooLarge, failure.NotRun, "too many connections").WithRetry(retryWhenFull))
+		f.refuseUnseen(ctx, failure.New(failure.TooLarge, failure.NotRun, "too many connections").WithRetry(retryWhenFull))
 		return unmatched
 	}
 	r, refusal := f.find(ctx)
 	if refusal != nil {
-		f.refuse(ctx, refusal)
+		f.refuseUnseen(ctx, refusal)
 		return unmatched
 	}
 	who, refusal := f.admit(ctx, r.access)
 	if refusal != nil {
-		f.refuse(ctx, refusal)
+		f.refuseUnseen(ctx, refusal)
 		return r.name
 	}
 	r.serve(ctx, who)
@@ -196,6 +197,23 @@
 	f.write(ctx, status, body)
 }
 
+// refuseUnseen refuses a request before the dispatcher saw it. The request
+// itself started nothing, but a job that it names may have run: "not run" would
+// not be true of that.
+func (f *front) refuseUnseen(ctx *fasthttp.RequestCtx, refusal *failure.Failure) {
+	if refusal.Run == failure.NotRun && mayNameJob(ctx) {
+		refusal = failure.New(refusal.Kind, failure.Unknown, refusal.Detail).WithRetry(refusal.RetryAfter)
+	}
+	f.refuse(ctx, refusal)
+}
+
+// mayNameJob reports whether a request is about a job with an id. The path is
+// the root when it could not be read.
+func mayNameJob(ctx *fasthttp.RequestCtx) bool {
+	path := string(ctx.Path())
+	return path == "/" || strings.HasPrefix(path, api.JobPath)
+}
+
 func (f *front) write(ctx *fasthttp.RequestCtx, status int, body []byte) {
 	ctx.SetStatusCode(status)
 	ctx.SetContentType(api.JSONType)
@@ -207,7 +225,7 @@
 func (f *front) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
 	linger(ctx.Conn())
 	ctx.SetConnectionClose()
-	f.refuse(ctx, unreadFailure(err))
+	f.refuseUnseen(ctx, unreadFailure(err))
 	f.count(unmatched, ctx.Response.StatusCode(), 0)
 }
 
--- a/internal/entryd/handlers.go
+++ b/internal/entryd/handlers.go
@@ -58,7 +58,7 @@
 	}
 	submission, wait, refusal := f.readJob(ctx, id, who)
 	if refusal != nil {
-		f.refuse(ctx, refusal)
+		f.refuseUnseen(ctx, refusal)
 		return
 	}
 	f.answer(ctx)(f.jobs.submit(submission, wait))
@@ -73,7 +73,7 @@
 	}
 	wait, refusal := waitOf(ctx)
 	if refusal != nil {
-		f.refuse(ctx, refusal)
+		f.refuseUnseen(ctx, refusal)
 		return
 	}
 	f.answer(ctx)(f.jobs.await(id, who.team, wait))
