--- a/internal/entryd/daemon_test.go
+++ b/internal/entryd/daemon_test.go
@@ -82,6 +82,8 @@
 	d.Stop() // changes nothing
 	for !agent.receive().Leaving {
 	}
+	d.shutdown.inbox.Send(shutdownEvents.Reminder)
+	watch.await(event.DrainWaiting)
 	r := mustSend(is, d, "GET", "/readyz", "", "")
 	is.Equal(r.status, http.StatusServiceUnavailable)
 	r = mustSend(is, d, "POST", "/v1/submit", callerToken, oneTask)
--- a/internal/entryd/shutdown.go
+++ b/internal/entryd/shutdown.go
@@ -17,8 +17,8 @@
 // shutdownInboxSize has room for every event of the chart.
 const shutdownInboxSize = 16
 
-// shutdownPeriod is how often the actor wakes when nothing arrives.
-const shutdownPeriod = time.Second
+// shutdownPeriod is how often a planned stop says what it waits for.
+const shutdownPeriod = 5 * time.Second
 
 // shutdown is the actor that leads the planned stop through the chart shutdown.
 // What waits runs in goroutines of its own and reports back as an event.
@@ -40,6 +40,7 @@
 		"start_settling": (*shutdown).startSettling,
 		"start_draining": (*shutdown).startDraining,
 		"report_drained": (*shutdown).reportDrained,
+		"report_waiting": (*shutdown).reportWaiting,
 		"report_overdue": (*shutdown).reportOverdue,
 		"close_callers":  (*shutdown).closeCallers,
 		"deregister":     (*shutdown).deregister,
@@ -53,6 +54,7 @@
 	Stop         chart.Event `chart:"stop"`
 	Settled      chart.Event `chart:"settled"`
 	Drained      chart.Event `chart:"drained"`
+	Reminder     chart.Event `chart:"reminder"`
 	Overdue      chart.Event `chart:"overdue"`
 	CallersDone  chart.Event `chart:"callers_done"`
 	Deregistered chart.Event `chart:"deregistered"`
@@ -81,8 +83,8 @@
 	return !shutdownChart.Final(s.state)
 }
 
-// Tick has nothing to do: what waits reports by events.
-func (s *shutdown) Tick(time.Time) bool { return true }
+// Tick reminds of what the planned stop waits for.
+func (s *shutdown) Tick(now time.Time) bool { return s.Handle(now, shutdownEvents.Reminder) }
 
 // Flush has nothing to do.
 func (s *shutdown) Flush(time.Time) {}
@@ -121,6 +123,14 @@
 
 func (s *shutdown) reportDrained() { s.log.Event(event.Drained) }
 
+func (s *shutdown) reportWaiting() {
+	view, refusal := s.parts.front.calls.inspect()
+	if refusal != nil {
+		return
+	}
+	s.log.Event(event.DrainWaiting, zap.Int("open_jobs", view.OpenJobs), zap.Int("tasks_waiting", view.Waiting), zap.Int("tasks_running", view.Running))
+}
+
 func (s *shutdown) reportOverdue() {
 	s.log.Event(event.DrainTimedOut)
 	s.cancel()
