Service-level report: accounts of all entries as text, JSON and a page

An entry's GET /v1/report asks its own dispatcher and, by the new Account call, every other entry at a time; an entry that does not answer is named with its failure. Package report adds up and renders; plots are SVG within the page. A refused request for ids is accounted as one refused job, and a job that was shed counts as queue: it was accepted and waited for a slot.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -50,10 +50,12 @@
 	DryRunParameter = "dry_run"
 )
 
-// Content types. An operator's path answers text when Accept asks for it.
+// Content types. An operator's path answers text when Accept asks for it, and the
+// report also a page.
 const (
 	JSONType = "application/json"
 	TextType = "text/plain"
+	HTMLType = "text/html"
 )
 
 // MaxWait bounds the wait of one request. A caller that wants to wait longer
--- a/internal/api/operator/operator.go
+++ b/internal/api/operator/operator.go
@@ -5,6 +5,7 @@
 
 import (
 	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/burn"
 	"cactuspost.example/internal/dispatch"
 	"cactuspost.example/internal/structs"
 )
@@ -43,6 +44,28 @@
 	}
 }
 
+// EntryAccounts is what one entry knows of service levels. Failure is set, and
+// the rest after Entry empty, when the entry did not answer.
+type EntryAccounts struct {
+	Entry      structs.Peer              `json:"entry"`
+	Failure    *api.FailureForm          `json:"failure,omitempty"`
+	Revision   uint64                    `json:"revision"`
+	Objectives map[string]burn.Objective `json:"objectives"`
+	Snapshot   burn.Snapshot             `json:"snapshot"`
+	Stats      dispatch.Stats            `json:"stats"`
+}
+
+// AccountsOf returns the form of a core's accounts.
+func AccountsOf(a dispatch.Accounts) EntryAccounts {
+	return EntryAccounts{
+		Entry:      a.Entry,
+		Revision:   a.Revision,
+		Objectives: a.Objectives,
+		Snapshot:   a.Snapshot,
+		Stats:      a.Stats,
+	}
+}
+
 // DrainAnswer answers POST api.DrainPath on an agent: the planned stop has
 // begun. Asking again changes nothing and tells how much is left.
 type DrainAnswer struct {
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -44,8 +44,8 @@
 
 // Objective is what a service promises.
 type Objective struct {
-	Target      float64
-	ObjectiveMS int64
+	Target      float64 `json:"target"`
+	ObjectiveMS int64   `json:"objective_ms"`
 }
 
 // Levels adds up the snapshots of all entries and returns the state per service
@@ -64,6 +64,20 @@
 	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Team, b.Team))
 }
 
+// ByMinute adds up a series per minute of the long window, the present minute
+// last.
+func ByMinute(now time.Time, series []Bucket) []Counts {
+	minutes := make([]Counts, LongWindow/time.Minute)
+	newest := now.UnixNano() / int64(time.Minute)
+	for _, b := range series {
+		age := newest - b.Number*int64(BucketLength)/int64(time.Minute)
+		if age >= 0 && age < int64(len(minutes)) {
+			minutes[int64(len(minutes))-1-age].Add(b.Counts)
+		}
+	}
+	return minutes
+}
+
 // merged is one account over all entries.
 type merged struct {
 	key                             Key
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -60,6 +60,7 @@
 	service, f := c.checkCreate(m)
 	if f != nil {
 		c.stats.JobsRefused++
+		c.accountCreateRefused(m, f)
 		c.refuse(m.Reply, f)
 		return
 	}
--- a/internal/dispatch/levels.go
+++ b/internal/dispatch/levels.go
@@ -12,6 +12,25 @@
 // idealRoundTrip is the allowance of the ideal response for one exchange.
 const idealRoundTrip = time.Millisecond
 
+// accounts copies the ledger with what belongs to it.
+func (c *Core) accounts() Accounts {
+	return Accounts{
+		Entry: c.self, Revision: c.revision(), Objectives: c.objectives(),
+		Snapshot: c.ledger.Snapshot(c.now), Stats: c.stats,
+	}
+}
+
+func (c *Core) objectives() map[string]burn.Objective {
+	objectives := map[string]burn.Objective{}
+	if c.doc == nil {
+		return objectives
+	}
+	for name, service := range c.doc.Services {
+		objectives[name] = burn.Objective{Target: service.Target, ObjectiveMS: int64(service.StartObjective)}
+	}
+	return objectives
+}
+
 func (j *job) key() burn.Key { return burn.Key{Service: j.service, Team: j.team} }
 
 // accountComplete records a complete job in the ledger.
@@ -32,10 +51,35 @@
 	}
 }
 
-func causeOf(j *job, f *failure.Failure) (cause burn.Cause, counts bool) {
+// accountCreateRefused records a refused request for ids as one job. Without a
+// configuration the service's name can't be checked: it is left empty, so that
+// callers can't add accounts without bound.
+func (c *Core) accountCreateRefused(m *CreateJobs, f *failure.Failure) {
+	key := burn.Key{Service: m.Service, Team: m.Team}
+	if f.Kind == failure.NoConfiguration {
+		key.Service = ""
+	}
+	if isRefusal(f) {
+		c.ledger.Job(c.now, key, burn.Refused)
+	}
+}
+
+// isRefusal reports whether a failure says that the service would not take the
+// job now. A leaving entry is no such case: the caller asks another one.
+func isRefusal(f *failure.Failure) bool {
 	switch f.Kind {
 	case failure.Overloaded, failure.QuotaExceeded, failure.Unavailable, failure.NoConfiguration:
-		return burn.Refused, true
+		return true
+	default:
+		return false
+	}
+}
+
+func causeOf(j *job, f *failure.Failure) (cause burn.Cause, counts bool) {
+	if isRefusal(f) {
+		return refusalCause(j), true
+	}
+	switch f.Kind {
 	case failure.TaskFailed:
 		return burn.Failed, true
 	case failure.TimeLimit:
@@ -49,6 +93,15 @@
 	}
 }
 
+// refusalCause tells a job that was never accepted from one that was accepted
+// and then shed, since it waited too long for a slot.
+func refusalCause(j *job) burn.Cause {
+	if len(j.tasks) > 0 {
+		return burn.Queue
+	}
+	return burn.Refused
+}
+
 // expiryCause tells a job that waited for slots from one whose tasks ran on.
 func expiryCause(j *job) burn.Cause {
 	for i := range j.tasks {
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -149,7 +149,7 @@
 // Accounted answers Account.
 type Accounted struct {
 	Reply    ReplyID
-	Snapshot burn.Snapshot
+	Accounts Accounts
 }
 
 func (*Created) isEffect()   {}
@@ -174,6 +174,16 @@
 	Stats     Stats
 }
 
+// Accounts is a copy of what the core knows of service levels.
+type Accounts struct {
+	Entry    structs.Peer
+	Revision uint64
+	// Objectives are those of the configuration in force, by service.
+	Objectives map[string]burn.Objective
+	Snapshot   burn.Snapshot
+	Stats      Stats
+}
+
 // EndpointView is what an entry knows of one endpoint.
 type EndpointView struct {
 	Endpoint   string              `json:"endpoint"`
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -36,6 +36,24 @@
 	Heartbeats uint64 `json:"heartbeats"`
 }
 
+// Wasted returns the messages that led to no start: a refused grant costs two,
+// the grant and the refusal; a revocation and a frame of demand alone one each.
+func (m *MessageCounts) Wasted() uint64 { return 2*m.Refusals + m.Revokes + m.Demands }
+
+// Add adds other to m.
+func (m *MessageCounts) Add(other *MessageCounts) {
+	m.Grants += other.Grants
+	m.Results += other.Results
+	m.Refusals += other.Refusals
+	m.Frames += other.Frames
+	m.Offers += other.Offers
+	m.Revokes += other.Revokes
+	m.Demands += other.Demands
+	m.Acks += other.Acks
+	m.Cancels += other.Cancels
+	m.Heartbeats += other.Heartbeats
+}
+
 // countFrame counts a frame from an agent under the cause that it serves.
 func (c *Core) countFrame(m *structs.FromAgent) {
 	n := &c.stats.Messages
--- a/internal/entryd/calls.go
+++ b/internal/entryd/calls.go
@@ -96,6 +96,21 @@
 	}
 }
 
+// account returns the dispatcher's accounts of service levels.
+func (c *calls) account() (*dispatch.Accounts, *failure.Failure) {
+	effect := c.ask(func(id dispatch.ReplyID) dispatch.Message {
+		return &dispatch.Account{Reply: id}
+	}, 0, failure.NotRun)
+	switch e := effect.(type) {
+	case *dispatch.Accounted:
+		return &e.Accounts, nil
+	case *dispatch.Refused:
+		return nil, e.Failure
+	default:
+		return nil, unexpected(effect)
+	}
+}
+
 // unexpected reports an effect that doesn't answer the message that was sent.
 func unexpected(effect dispatch.Effect) *failure.Failure {
 	return failure.Newf(failure.Internal, failure.Unknown, "the dispatcher answered with %T", effect)
--- a/internal/entryd/cluster.go
+++ b/internal/entryd/cluster.go
@@ -47,20 +47,21 @@
 	return others
 }
 
-// collectViews asks all entries at a time and answers in their order.
-func collectViews(ctx context.Context, asker asker, entries []structs.Peer, answer chan<- []operator.EntryView) {
-	views := make([]operator.EntryView, len(entries))
+// askAll asks all entries at a time, each in a goroutine that owns the exchange,
+// and answers in their order.
+func askAll[T any](entries []structs.Peer, answer chan<- []T, ask func(structs.Peer) T) {
+	replies := make([]T, len(entries))
 	done := make(chan struct{}, len(entries))
 	for i, entry := range entries {
 		go func() {
-			views[i] = viewOf(ctx, asker, entry)
+			replies[i] = ask(entry)
 			done <- struct{}{}
 		}()
 	}
 	for range entries {
 		<-done
 	}
-	answer <- views
+	answer <- replies
 }
 
 func viewOf(ctx context.Context, asker asker, entry structs.Peer) operator.EntryView {
@@ -70,12 +71,16 @@
 		err = api.DecodeLenient(raw, &view)
 	}
 	if err != nil {
-		f := failure.Of(err)
-		return operator.EntryView{Entry: entry, Failure: &api.FailureForm{Kind: f.Kind, Run: f.Run, Detail: f.Detail}}
+		return operator.EntryView{Entry: entry, Failure: formOf(err)}
 	}
 	return view
 }
 
+func formOf(err error) *api.FailureForm {
+	f := failure.Of(err)
+	return &api.FailureForm{Kind: f.Kind, Run: f.Run, Detail: f.Detail}
+}
+
 // InspectPeer returns this entry's view for another one, or nothing when the
 // dispatcher can't tell.
 func (j *jobs) InspectPeer(context.Context) []byte {
--- a/internal/entryd/config.go
+++ b/internal/entryd/config.go
@@ -55,7 +55,7 @@
 	// DrainTimeout bounds the wait for open jobs; 0 means their own lifetimes.
 	DrainTimeout time.Duration
 	// Notes and Report serve the operators' paths of these names. Without Notes
-	// the entry serves the notes of its Store.
+	// the entry serves the notes of its Store, without Report its own report.
 	Notes  Hook
 	Report Hook
 	// NewCore makes the dispatcher; nil makes the product's own.
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -194,6 +194,8 @@
 		a.answer(e.Reply, e)
 	case *dispatch.Inspected:
 		a.answer(e.Reply, e)
+	case *dispatch.Accounted:
+		a.answer(e.Reply, e)
 	case *dispatch.Send:
 		a.send(e)
 	case *dispatch.CloseLink:
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -145,6 +145,9 @@
 	if p.platform != nil && config.Notes == nil {
 		config.Notes = (&notes{inbox: p.platform.notes, store: config.Store, cluster: cluster, log: config.Log}).serve
 	}
+	if config.Report == nil {
+		config.Report = cluster.report
+	}
 	p.front = newFront(frontOptions{
 		limits:      config.Limits,
 		credentials: newCredentials(config.Callers, config.Operators),
--- a/internal/entryd/front.go
+++ b/internal/entryd/front.go
@@ -39,6 +39,8 @@
 	Body     []byte
 	// Text asks for an answer in text for a person; else it is JSON.
 	Text bool
+	// HTML asks for a page; only the report has one.
+	HTML bool
 }
 
 // Hook serves an operators' path that other parts of the daemon fill in. It
--- a/internal/entryd/handlers.go
+++ b/internal/entryd/handlers.go
@@ -166,19 +166,30 @@
 			return
 		}
 		f.write(ctx, http.StatusOK, body)
-		if request.Text {
-			ctx.SetContentType(api.TextType)
-		}
+		ctx.SetContentType(request.contentType())
+	}
+}
+
+func (r *OperatorRequest) contentType() string {
+	switch {
+	case r.HTML:
+		return api.HTMLType + "; charset=utf-8"
+	case r.Text:
+		return api.TextType
+	default:
+		return api.JSONType
 	}
 }
 
 func operatorRequest(ctx *fasthttp.RequestCtx, who principal) OperatorRequest {
+	accept := string(ctx.Request.Header.Peek(fasthttp.HeaderAccept))
 	r := OperatorRequest{
 		Operator: who.operator,
 		Method:   string(ctx.Method()),
 		Query:    map[string]string{},
 		Body:     ctx.PostBody(),
-		Text:     string(ctx.Request.Header.Peek(fasthttp.HeaderAccept)) == api.TextType,
+		Text:     accept == api.TextType,
+		HTML:     string(ctx.Path()) == api.ReportPath && strings.Contains(accept, api.HTMLType),
 	}
 	for key, value := range ctx.QueryArgs().All() {
 		r.Query[string(key)] = string(value)
--- a/internal/entryd/peers.go
+++ b/internal/entryd/peers.go
@@ -43,17 +43,23 @@
 // collect asks every other entry for its state.
 type collect struct{ answer chan<- []operator.EntryView }
 
+// collectAccounts asks every other entry for its accounts of service levels.
+type collectAccounts struct {
+	answer chan<- []operator.EntryAccounts
+}
+
 // askEnded says that one request to an owner has ended.
 type askEnded struct{}
 
 // endPeers ends the actor.
 type endPeers struct{}
 
-func (*setPeers) isPeerMessage() {}
-func (*passedOn) isPeerMessage() {}
-func (*collect) isPeerMessage()  {}
-func (askEnded) isPeerMessage()  {}
-func (endPeers) isPeerMessage()  {}
+func (*setPeers) isPeerMessage()        {}
+func (*passedOn) isPeerMessage()        {}
+func (*collect) isPeerMessage()         {}
+func (*collectAccounts) isPeerMessage() {}
+func (askEnded) isPeerMessage()         {}
+func (endPeers) isPeerMessage()         {}
 
 // outcome is what a caller is told: one of its fields is set.
 type outcome struct {
@@ -65,6 +71,7 @@
 type asker interface {
 	Ask(ctx context.Context, address string, r *peer.Request) (*peer.Response, error)
 	Inspect(ctx context.Context, entry structs.Peer) ([]byte, error)
+	Account(ctx context.Context, entry structs.Peer) ([]byte, error)
 }
 
 // peersActor owns the list of entries and passes requests on to owners. Each
@@ -87,7 +94,9 @@
 	case *passedOn:
 		a.passOn(now, m)
 	case *collect:
-		go collectViews(a.ctx, a.asker, a.others(), m.answer)
+		go askAll(a.others(), m.answer, func(e structs.Peer) operator.EntryView { return viewOf(a.ctx, a.asker, e) })
+	case *collectAccounts:
+		go askAll(a.others(), m.answer, func(e structs.Peer) operator.EntryAccounts { return accountsOf(a.ctx, a.asker, e) })
 	case askEnded:
 		a.asking--
 	case endPeers:
--- a/internal/entryd/peers_test.go
+++ b/internal/entryd/peers_test.go
@@ -111,6 +111,7 @@
 }
 
 func (h *heldAsker) Inspect(context.Context, structs.Peer) ([]byte, error) { return nil, nil }
+func (h *heldAsker) Account(context.Context, structs.Peer) ([]byte, error) { return nil, nil }
 
 func TestRequestsToOwnersAreBounded(t *testing.T) {
 	is := is.New(t)
--- /dev/null
+++ b/internal/entryd/report.go
@@ -0,0 +1,75 @@
+package entryd
+
+import (
+	"context"
+	"time"
+
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/api/operator"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/report"
+	"cactuspost.example/internal/structs"
+)
+
+// accounts returns this entry's accounts and those of the others, each of them
+// with a failure in its place if that entry did not answer.
+func (c *cluster) accounts() ([]operator.EntryAccounts, *failure.Failure) {
+	own, refusal := c.calls.account()
+	if refusal != nil {
+		return nil, refusal
+	}
+	answer := make(chan []operator.EntryAccounts, 1)
+	if !c.peers.TrySend(&collectAccounts{answer: answer}) {
+		return nil, tooManyPassedOn()
+	}
+	select {
+	case others := <-answer:
+		return append([]operator.EntryAccounts{operator.AccountsOf(*own)}, others...), nil
+	case <-c.peers.Done():
+		return nil, failure.New(failure.Unavailable, failure.NotRun, "the entry has stopped")
+	}
+}
+
+func accountsOf(ctx context.Context, asker asker, entry structs.Peer) operator.EntryAccounts {
+	accounts := operator.EntryAccounts{}
+	raw, err := asker.Account(ctx, entry)
+	if err == nil {
+		err = api.DecodeLenient(raw, &accounts)
+	}
+	if err != nil {
+		return operator.EntryAccounts{Entry: entry, Failure: formOf(err)}
+	}
+	return accounts
+}
+
+// AccountPeer returns this entry's accounts for another one, or nothing when
+// the dispatcher can't tell.
+func (j *jobs) AccountPeer(context.Context) []byte {
+	own, refusal := j.calls.account()
+	if refusal != nil {
+		return nil
+	}
+	raw, err := api.Encode(operator.AccountsOf(*own))
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// report serves api.ReportPath; it implements Hook.
+func (c *cluster) report(r OperatorRequest) ([]byte, *failure.Failure) {
+	accounts, refusal := c.accounts()
+	if refusal != nil {
+		return nil, refusal
+	}
+	built := report.New(time.Now(), accounts)
+	switch {
+	case r.HTML:
+		page, err := report.RenderPage(built)
+		return page, failure.Of(err)
+	case r.Text:
+		return []byte(report.RenderText(built)), nil
+	default:
+		return encodeOr(built)
+	}
+}
--- a/internal/local/demo.go
+++ b/internal/local/demo.go
@@ -172,13 +172,12 @@
 func newReport(ratios *hdrhistogram.Histogram, before, after *dispatch.Stats) *Report {
 	tasks := after.TasksDone - before.TasksDone
 	m, n := after.Messages, before.Messages
-	wasted := 2*(m.Refusals-n.Refusals) + (m.Revokes - n.Revokes) + (m.Demands - n.Demands)
 	return &Report{
 		Jobs: demoJobs, Tasks: int(tasks),
 		P50:             float64(ratios.ValueAtQuantile(50)) / ratioScale,
 		P99:             float64(ratios.ValueAtQuantile(99)) / ratioScale,
 		MessagesPerTask: float64(m.Frames-n.Frames) / float64(tasks),
-		WastedPerTask:   float64(wasted) / float64(tasks),
+		WastedPerTask:   float64(m.Wasted()-n.Wasted()) / float64(tasks),
 	}
 }
 
@@ -225,10 +224,7 @@
 	sum := &dispatch.Stats{}
 	for _, view := range views {
 		sum.TasksDone += view.Stats.TasksDone
-		sum.Messages.Frames += view.Stats.Messages.Frames
-		sum.Messages.Refusals += view.Stats.Messages.Refusals
-		sum.Messages.Revokes += view.Stats.Messages.Revokes
-		sum.Messages.Demands += view.Stats.Messages.Demands
+		sum.Messages.Add(&view.Stats.Messages)
 	}
 	return sum, nil
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -70,6 +70,22 @@
 	return reply.Msg.View, nil
 }
 
+// Account returns the accounts of service levels of the entry at the address,
+// in their JSON form. An error means that they could not be had from that
+// incarnation.
+func (c *Client) Account(ctx context.Context, entry structs.Peer) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, replyMargin)
+	defer cancel()
+	reply, err := c.jobs(entry.PeerAddress).Account(ctx, connect.NewRequest(&peerpb.AccountRequest{}))
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Unavailable, failure.NotRun, "ask the entry at "+entry.PeerAddress+" for its accounts")
+	}
+	if reply.Msg.Incarnation != uint64(entry.Incarnation) || len(reply.Msg.Accounts) == 0 {
+		return nil, failure.New(failure.Unavailable, failure.NotRun, "the entry has no accounts")
+	}
+	return reply.Msg.Accounts, nil
+}
+
 func (c *Client) jobs(address string) peerpbconnect.JobsClient {
 	return peerpbconnect.NewJobsClient(&http.Client{Transport: c.transport}, "http://"+address,
 		connect.WithReadMaxBytes(MaxMessageBytes), connect.WithSendMaxBytes(MaxMessageBytes))
--- a/internal/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/internal/peer/peerpb/peerpbconnect/peer.connect.go
@@ -39,6 +39,8 @@
 	JobsAskProcedure = "/cactuspost.peer.Jobs/Ask"
 	// JobsInspectProcedure is the fully-qualified name of the Jobs's Inspect RPC.
 	JobsInspectProcedure = "/cactuspost.peer.Jobs/Inspect"
+	// JobsAccountProcedure is the fully-qualified name of the Jobs's Account RPC.
+	JobsAccountProcedure = "/cactuspost.peer.Jobs/Account"
 )
 
 // JobsClient is a client for the cactuspost.peer.Jobs service.
@@ -47,6 +49,8 @@
 	Ask(context.Context, *connect.Request[peerpb.AskRequest]) (*connect.Response[peerpb.AskResponse], error)
 	// Inspect returns the answering entry's state for operators.
 	Inspect(context.Context, *connect.Request[peerpb.InspectRequest]) (*connect.Response[peerpb.InspectResponse], error)
+	// Account returns the answering entry's accounts of service levels.
+	Account(context.Context, *connect.Request[peerpb.AccountRequest]) (*connect.Response[peerpb.AccountResponse], error)
 }
 
 // NewJobsClient constructs a client for the cactuspost.peer.Jobs service. By default, it uses the
@@ -72,6 +76,12 @@
 			connect.WithSchema(jobsMethods.ByName("Inspect")),
 			connect.WithClientOptions(opts...),
 		),
+		account: connect.NewClient[peerpb.AccountRequest, peerpb.AccountResponse](
+			httpClient,
+			baseURL+JobsAccountProcedure,
+			connect.WithSchema(jobsMethods.ByName("Account")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -79,6 +89,7 @@
 type jobsClient struct {
 	ask     *connect.Client[peerpb.AskRequest, peerpb.AskResponse]
 	inspect *connect.Client[peerpb.InspectRequest, peerpb.InspectResponse]
+	account *connect.Client[peerpb.AccountRequest, peerpb.AccountResponse]
 }
 
 // Ask calls cactuspost.peer.Jobs.Ask.
@@ -91,12 +102,19 @@
 	return c.inspect.CallUnary(ctx, req)
 }
 
+// Account calls cactuspost.peer.Jobs.Account.
+func (c *jobsClient) Account(ctx context.Context, req *connect.Request[peerpb.AccountRequest]) (*connect.Response[peerpb.AccountResponse], error) {
+	return c.account.CallUnary(ctx, req)
+}
+
 // JobsHandler is an implementation of the cactuspost.peer.Jobs service.
 type JobsHandler interface {
 	// Ask carries out one caller's request at the owner. It is idempotent.
 	Ask(context.Context, *connect.Request[peerpb.AskRequest]) (*connect.Response[peerpb.AskResponse], error)
 	// Inspect returns the answering entry's state for operators.
 	Inspect(context.Context, *connect.Request[peerpb.InspectRequest]) (*connect.Response[peerpb.InspectResponse], error)
+	// Account returns the answering entry's accounts of service levels.
+	Account(context.Context, *connect.Request[peerpb.AccountRequest]) (*connect.Response[peerpb.AccountResponse], error)
 }
 
 // NewJobsHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -118,12 +136,20 @@
 		connect.WithSchema(jobsMethods.ByName("Inspect")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobsAccountHandler := connect.NewUnaryHandler(
+		JobsAccountProcedure,
+		svc.Account,
+		connect.WithSchema(jobsMethods.ByName("Account")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/cactuspost.peer.Jobs/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case JobsAskProcedure:
 			jobsAskHandler.ServeHTTP(w, r)
 		case JobsInspectProcedure:
 			jobsInspectHandler.ServeHTTP(w, r)
+		case JobsAccountProcedure:
+			jobsAccountHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -140,3 +166,7 @@
 func (UnimplementedJobsHandler) Inspect(context.Context, *connect.Request[peerpb.InspectRequest]) (*connect.Response[peerpb.InspectResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspost.peer.Jobs.Inspect is not implemented"))
 }
+
+func (UnimplementedJobsHandler) Account(context.Context, *connect.Request[peerpb.AccountRequest]) (*connect.Response[peerpb.AccountResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspost.peer.Jobs.Account is not implemented"))
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -19,6 +19,8 @@
 	// InspectPeer returns the state for operators in its JSON form, or nothing
 	// if it can't be had.
 	InspectPeer(ctx context.Context) []byte
+	// AccountPeer returns the accounts of service levels in the same way.
+	AccountPeer(ctx context.Context) []byte
 }
 
 // NewHandler returns the HTTP handler of an entry for other entries. Requests
@@ -53,3 +55,9 @@
 	response := &peerpb.InspectResponse{Incarnation: uint64(s.self), View: s.answerer.InspectPeer(ctx)}
 	return connect.NewResponse(response), nil
 }
+
+// Account implements the generated service interface.
+func (s *service) Account(ctx context.Context, _ *connect.Request[peerpb.AccountRequest]) (*connect.Response[peerpb.AccountResponse], error) {
+	response := &peerpb.AccountResponse{Incarnation: uint64(s.self), Accounts: s.answerer.AccountPeer(ctx)}
+	return connect.NewResponse(response), nil
+}
--- /dev/null
+++ b/internal/report/report.go
@@ -0,0 +1,106 @@
+// Package report makes the service-level report from the accounts of all
+// entries, and renders it as text and as one self-contained HTML page. It is
+// pure: it asks nobody and reads no clock.
+package report
+
+import (
+	"time"
+
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/api/operator"
+	"cactuspost.example/internal/burn"
+	"cactuspost.example/internal/dispatch"
+)
+
+// Report is the state of all services for all teams, as far as entries
+// answered.
+type Report struct {
+	At time.Time `json:"at"`
+	// Revision is the highest one that an entry has; the objectives are its.
+	Revision uint64 `json:"revision"`
+	// Entries lists every entry, also those that did not answer.
+	Entries  []Entry      `json:"entries"`
+	Levels   []burn.Level `json:"levels"`
+	Messages Messages     `json:"messages"`
+}
+
+// Entry is a part of the report's source.
+type Entry struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	Revision   uint64 `json:"revision"`
+	// Failure is why the entry's accounts are missing; nil if they are not.
+	Failure *api.FailureForm `json:"failure,omitempty"`
+}
+
+// Messages is the use of messages since the entries' start.
+type Messages struct {
+	Counts       dispatch.MessageCounts `json:"counts"`
+	TasksGranted uint64                 `json:"tasks_granted"`
+	// Wasted counts the messages that led to no start.
+	Wasted uint64 `json:"wasted"`
+	// WastedPerTask is Wasted over TasksGranted; zero if no task was granted.
+	WastedPerTask float64 `json:"wasted_per_task"`
+}
+
+// New adds up the accounts of all entries.
+func New(now time.Time, accounts []operator.EntryAccounts) *Report {
+	r := &Report{At: now}
+	var snapshots []burn.Snapshot
+	objectives := map[string]burn.Objective{}
+	for i := range accounts {
+		a := &accounts[i]
+		r.Entries = append(r.Entries, entryOf(a))
+		if a.Failure != nil {
+			continue
+		}
+		if a.Revision > r.Revision {
+			r.Revision = a.Revision
+			objectives = a.Objectives
+		}
+		snapshots = append(snapshots, a.Snapshot)
+		r.Messages.Counts.Add(&a.Stats.Messages)
+		r.Messages.TasksGranted += a.Stats.TasksGranted
+	}
+	r.Levels = burn.Levels(now, snapshots, objectives)
+	r.Messages.settle()
+	return r
+}
+
+func entryOf(a *operator.EntryAccounts) Entry {
+	return Entry{Name: a.Entry.Name, DataCentre: a.Entry.DataCentre, Revision: a.Revision, Failure: a.Failure}
+}
+
+func (m *Messages) settle() {
+	m.Wasted = m.Counts.Wasted()
+	if m.TasksGranted > 0 {
+		m.WastedPerTask = float64(m.Wasted) / float64(m.TasksGranted)
+	}
+}
+
+// Missing returns the entries that did not answer.
+func (r *Report) Missing() []Entry {
+	var missing []Entry
+	for _, e := range r.Entries {
+		if e.Failure != nil {
+			missing = append(missing, e)
+		}
+	}
+	return missing
+}
+
+// messageCount is the number of messages of one cause.
+type messageCount struct {
+	cause string
+	count uint64
+}
+
+// byCause lists the messages in the order of the glossary.
+func (m *Messages) byCause() []messageCount {
+	c := &m.Counts
+	return []messageCount{
+		{"grants", c.Grants}, {"results", c.Results}, {"refusals", c.Refusals},
+		{"offers", c.Offers}, {"revokes", c.Revokes}, {"demands", c.Demands},
+		{"acks", c.Acks}, {"cancels", c.Cancels}, {"heartbeats", c.Heartbeats},
+	}
+}
--- /dev/null
+++ b/internal/report/report_test.go
@@ -0,0 +1,103 @@
+package report
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/api/operator"
+	"cactuspost.example/internal/burn"
+	"cactuspost.example/internal/dispatch"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/structs"
+)
+
+var noon = time.Unix(1_800_000_000, 0)
+
+// sample has two entries that answered, on different revisions, and one that
+// did not.
+func sample() []operator.EntryAccounts {
+	rivage := burn.Key{Service: "recession", Team: "rivage"}
+	first, second := burn.NewLedger(), burn.NewLedger()
+	for range 990 {
+		first.Job(noon.Add(-30*time.Minute), rivage, burn.Met)
+	}
+	for cause := burn.Queue; cause < burn.CauseCount; cause++ {
+		second.Job(noon, rivage, cause)
+	}
+	second.Job(noon, burn.Key{Service: "withdrawn", Team: "<team>"}, burn.Failed)
+	second.Job(noon, burn.Key{Team: "rivage"}, burn.Refused)
+	first.Task(rivage, 1.5)
+	first.ShortStart(rivage, 3*time.Millisecond, false)
+	second.ShortStart(rivage, 40*time.Millisecond, true)
+	messages := dispatch.MessageCounts{Grants: 10, Results: 9, Refusals: 1, Frames: 40, Revokes: 2, Demands: 1, Heartbeats: 7}
+	stats := dispatch.Stats{TasksGranted: 10, Messages: messages}
+	return []operator.EntryAccounts{
+		{
+			Entry: structs.Peer{Name: "entry-1", DataCentre: "rimouski"}, Revision: 2, Snapshot: first.Snapshot(noon), Stats: stats,
+			Objectives: map[string]burn.Objective{"recession": {Target: 0.5, ObjectiveMS: 9}},
+		},
+		{
+			Entry: structs.Peer{Name: "entry-2", DataCentre: "matane"}, Revision: 3, Snapshot: second.Snapshot(noon), Stats: stats,
+			Objectives: map[string]burn.Objective{"recession": {Target: 0.99, ObjectiveMS: 500}},
+		},
+		{
+			Entry:   structs.Peer{Name: "entry-3", DataCentre: "matane"},
+			Failure: &api.FailureForm{Kind: failure.Unavailable, Run: failure.NotRun, Detail: "no answer in time"},
+		},
+	}
+}
+
+func TestTextOfFixedAccounts(t *testing.T) {
+	is := is.New(t)
+	want, err := os.ReadFile("testdata/report.txt")
+	is.NoErr(err)
+	is.Equal(RenderText(New(noon, sample())), string(want))
+}
+
+func TestTextWithoutJobs(t *testing.T) {
+	is := is.New(t)
+	text := RenderText(New(noon, nil))
+	is.True(strings.Contains(text, "No job is accounted for."))
+	is.True(strings.Contains(text, "0 wasted, no task granted"))
+}
+
+// outside matches what would make a browser fetch or run something. Names of
+// XML namespaces are not fetched.
+var outside = regexp.MustCompile(`(?i)\b(src|href|action|data|srcset)\s*=|url\(|@import|<script|<link|<iframe|<object|<base|<meta http-equiv`)
+
+func TestPageIsSelfContained(t *testing.T) {
+	is := is.New(t)
+	page, err := RenderPage(New(noon, sample()))
+	is.NoErr(err)
+	is.Equal(outside.FindString(string(page)), "")
+	addresses := regexp.MustCompile(`xmlns(:xlink)?="[^"]*"`).ReplaceAllString(string(page), "")
+	is.True(!strings.Contains(addresses, "://"))
+	is.Equal(strings.Count(string(page), "<?xml"), 0)
+}
+
+func TestPageShowsWhatTheTextShows(t *testing.T) {
+	is := is.New(t)
+	raw, err := RenderPage(New(noon, sample()))
+	is.NoErr(err)
+	page := string(raw)
+	is.True(strings.Contains(page, "entry-3 (matane) did not answer"))
+	is.True(strings.Contains(page, "no answer in time"))
+	is.True(strings.Contains(page, "queue 1, straggler 1, refused 1, failed 1, endpoint gone 1"))
+	is.True(!strings.Contains(page, "<team>")) // escaped, in the plots too
+	is.True(strings.Contains(page, "&lt;team&gt;"))
+	// One for each account with misses, two for each service, one of messages.
+	is.Equal(strings.Count(page, "<svg"), 3+2*3+1)
+}
+
+func TestPageWithoutJobs(t *testing.T) {
+	is := is.New(t)
+	page, err := RenderPage(New(noon, nil))
+	is.NoErr(err)
+	is.True(strings.Contains(string(page), "No job is accounted for."))
+}
