--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -270,3 +270,18 @@
 	is.NoErr(err)
 	is.Equal(string(raw), Page()) // run: go generate ./internal/cli
 }
+
+func TestReportIsSavedAsAPage(t *testing.T) {
+	is := is.New(t)
+	fake := startFake(t, map[string]fakeAnswer{"GET /v1/report": {body: []byte("<!DOCTYPE html>")}})
+	file := filepath.Join(t.TempDir(), "report.html")
+	code, out, _ := fake.run(t, "", "report", "--html", file)
+	is.Equal(code, ExitOK)
+	is.Equal(out, "")
+	page, err := os.ReadFile(file)
+	is.NoErr(err)
+	is.Equal(string(page), "<!DOCTYPE html>")
+	is.Equal(fake.requests(), []string{"GET /v1/report||text/html|Bearer token-of-a-test|"})
+	code, _, _ = fake.run(t, "", "report", "--html", filepath.Join(file, "below"))
+	is.Equal(code, ExitUsage)
+}
--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 
@@ -16,6 +17,12 @@
 	"cactuspost.example/internal/httpclient"
 )
 
+// htmlFlag names the file that takes the report's page.
+const htmlFlag = "html"
+
+// reportMode lets everyone read the report's page.
+const reportMode = 0o644
+
 func endpointsCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "endpoints",
@@ -74,8 +81,14 @@
 	return &cli.Command{
 		Name:  "report",
 		Usage: "show the service-level burn",
-		Description: `Example:
-  cactuspost report --output json`,
+		Description: `Shows for each service and team the objective, the error budget and how fast it
+burns, what burnt it, and how tasks fare against the ideal. The figures come from
+all entries; one that does not answer is named.
+
+Examples:
+  cactuspost report --output json
+  cactuspost report --html report.html`,
+		Flags:  []cli.Flag{&cli.StringFlag{Name: htmlFlag, Usage: "write one page with plots to `FILE` and print nothing"}},
 		Action: action(showReport).run,
 	}
 }
@@ -151,9 +164,24 @@
 	if err := noArgument(cmd); err != nil {
 		return err
 	}
+	if file := cmd.String(htmlFlag); file != "" {
+		return saveReport(ctx, cmd, file)
+	}
 	return show(ctx, cmd, httpclient.Request{Method: http.MethodGet, URL: api.ReportPath})
 }
 
+func saveReport(ctx context.Context, cmd *cli.Command, file string) error {
+	request := httpclient.Request{Method: http.MethodGet, URL: api.ReportPath, Accept: api.HTMLType}
+	page, err := askEntries(ctx, cmd, request)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(file, page, reportMode); err != nil {
+		return failure.Wrap(err, failure.Invalid, failure.NotRun, "write the report")
+	}
+	return nil
+}
+
 // show prints what the entry returns in the form that was asked for.
 func show(ctx context.Context, cmd *cli.Command, r httpclient.Request) error {
 	r.Accept = api.TextType
--- a/internal/entryd/cluster.go
+++ b/internal/entryd/cluster.go
@@ -71,16 +71,11 @@
 		err = api.DecodeLenient(raw, &view)
 	}
 	if err != nil {
-		return operator.EntryView{Entry: entry, Failure: formOf(err)}
+		return operator.EntryView{Entry: entry, Failure: api.FormOf(failure.Of(err))}
 	}
 	return view
 }
 
-func formOf(err error) *api.FailureForm {
-	f := failure.Of(err)
-	return &api.FailureForm{Kind: f.Kind, Run: f.Run, Detail: f.Detail}
-}
-
 // InspectPeer returns this entry's view for another one, or nothing when the
 // dispatcher can't tell.
 func (j *jobs) InspectPeer(context.Context) []byte {
--- a/internal/entryd/fake_test.go
+++ b/internal/entryd/fake_test.go
@@ -80,6 +80,8 @@
 		return m.Reply
 	case *dispatch.Inspect:
 		return m.Reply
+	case *dispatch.Account:
+		return m.Reply
 	}
 	return 0
 }
@@ -151,6 +153,10 @@
 	if token != "" {
 		request.Header.Set("Authorization", api.Authorization(token))
 	}
+	return exchange(request)
+}
+
+func exchange(request *http.Request) (*reply, error) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
--- a/internal/entryd/report.go
+++ b/internal/entryd/report.go
@@ -37,7 +37,7 @@
 		err = api.DecodeLenient(raw, &accounts)
 	}
 	if err != nil {
-		return operator.EntryAccounts{Entry: entry, Failure: formOf(err)}
+		return operator.EntryAccounts{Entry: entry, Failure: api.FormOf(failure.Of(err))}
 	}
 	return accounts
 }
--- /dev/null
+++ b/internal/entryd/report_test.go
@@ -0,0 +1,144 @@
+package entryd
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/report"
+	"cactuspost.example/internal/structs"
+)
+
+const urgentTask = `{"service":"urgent","tasks":[{"kind":"k"}]}`
+
+// reportConfig has a second service with a pool of its own, whose jobs are shed
+// soon after they were accepted.
+func reportConfig(name string) Config {
+	config := testConfig()
+	config.Self.Name = name
+	urgent := config.Document.Services[testService]
+	urgent.Pool = "desk"
+	urgent.Target = 0.5
+	urgent.StartObjective = 100
+	config.Document.Services["urgent"] = urgent
+	config.Document.Teams["rivage"].Quotas["urgent"] = 1
+	return config
+}
+
+func readReport(is *is.I, d *Daemon) *report.Report {
+	is.Helper()
+	r := mustSend(is, d, "GET", api.ReportPath, operatorToken, "")
+	is.Equal(r.status, http.StatusOK)
+	var answer report.Report
+	is.NoErr(json.Unmarshal(r.body, &answer))
+	return &answer
+}
+
+// endJob submits a job, has the agent report an outcome, and returns the answer.
+func endJob(is *is.I, d *Daemon, agent *rawAgent, outcome structs.Outcome) *api.JobAnswer {
+	is.Helper()
+	path := createAt(is, d)
+	done := sendBeside(d, "PUT", path+"?wait_ms=60000", callerToken, oneTask)
+	result := structs.Result{Grant: agent.grant().ID, Outcome: outcome}
+	agent.send(&structs.FromAgent{Results: []structs.Result{result}})
+	answer := (<-done).job(is)
+	again := mustSend(is, d, "PUT", path, callerToken, oneTask).job(is) // counts once
+	is.Equal(again.State, answer.State)
+	return answer
+}
+
+func TestReportHasTheCausesOfAllEntries(t *testing.T) {
+	is := is.New(t)
+	first, second := start(t, reportConfig("entry-1")), start(t, reportConfig("entry-2"))
+	peers := []structs.Peer{first.Self(), second.Self()}
+	first.SetPeers(peers)
+	second.SetPeers(peers)
+
+	refused := mustSend(is, first, "POST", "/v1/submit", callerToken, oneTask).failure(is)
+	is.Equal(refused.Kind, failure.Unavailable) // no worker yet
+	agents := []*rawAgent{greet(t, first), greet(t, second)}
+	is.True(endJob(is, first, agents[0], structs.Succeeded).Complete())
+	is.True(endJob(is, second, agents[1], structs.Succeeded).Complete())
+	is.Equal(endJob(is, first, agents[0], structs.Errored).Failure.Kind, failure.TaskFailed)
+	is.Equal(endJob(is, second, agents[1], structs.LimitExceeded).Failure.Kind, failure.TimeLimit)
+	is.Equal(endJob(is, second, agents[1], structs.Lost).Failure.Kind, failure.EndpointLost)
+	withdrawn := createAt(is, first)
+	is.Equal(mustSend(is, first, "DELETE", withdrawn, callerToken, "").job(is).Failure.Kind, failure.Cancelled) // says nothing of the service
+	busy := dial(t, second)                                                                                     // a worker without a free slot
+	m := hello()
+	m.Hello.Endpoint, m.Hello.Pool = "w2", "desk"
+	busy.send(m)
+	is.True(busy.receive().Welcome != nil)
+	shed := mustSend(is, second, "POST", "/v1/submit?wait_ms=60000", callerToken, urgentTask).job(is)
+	is.Equal(shed.Failure.Kind, failure.Overloaded)
+
+	for _, d := range []*Daemon{first, second} {
+		r := readReport(is, d)
+		is.Equal(len(r.Missing()), 0)
+		is.Equal(len(r.Entries), 2)
+		is.Equal(len(r.Levels), 2)
+		is.Equal(r.Levels[0].Service+"/"+r.Levels[0].Team, "recession/rivage")
+		is.Equal(r.Levels[0].Long.ByCause, map[string]uint64{"met": 2, "refused": 1, "failed": 1, "straggler": 1, "endpoint gone": 1})
+		is.Equal(r.Levels[1].Service, "urgent")
+		is.Equal(r.Levels[1].Long.ByCause, map[string]uint64{"queue": 1})
+		is.Equal(r.Levels[1].Long.BurnRate, 2.0)
+		is.Equal(r.Messages.TasksGranted, uint64(5))
+	}
+}
+
+func TestReportNamesEntriesWithoutAnswer(t *testing.T) {
+	is := is.New(t)
+	d, successor := start(t, reportConfig("entry-1")), start(t, reportConfig("entry-2"))
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(closed.Close())
+	replaced := successor.Self()
+	replaced.Name, replaced.Incarnation = "replaced", 77
+	d.SetPeers([]structs.Peer{
+		d.Self(), replaced, {Name: "gone", DataCentre: "matane", Incarnation: 78, PeerAddress: closed.Addr().String()},
+	})
+	r := readReport(is, d)
+	is.Equal(len(r.Entries), 3)
+	missing := r.Missing()
+	is.Equal(len(missing), 2)
+	is.Equal(missing[0].Name, "replaced")
+	is.Equal(missing[1].Name, "gone")
+	is.Equal(missing[1].Failure.Kind, failure.Unavailable)
+
+	text := get(is, d, api.TextType)
+	is.True(strings.Contains(string(text.body), "gone (matane) DID NOT ANSWER"))
+	is.Equal(text.header.Get("Content-Type"), api.TextType)
+	page := get(is, d, "text/html,application/xhtml+xml;q=0.9")
+	is.True(strings.Contains(string(page.body), "gone (matane) did not answer"))
+	is.Equal(page.header.Get("Content-Type"), "text/html; charset=utf-8")
+}
+
+func TestReportWithoutTheDispatcherIsRefused(t *testing.T) {
+	is := is.New(t)
+	refusal := failure.New(failure.Overloaded, failure.NotRun, "said why")
+	d := startFake(t, refuser(refusal))
+	is.Equal(mustSend(is, d, "GET", api.ReportPath, operatorToken, "").failure(is).Failure(), refusal)
+	// Another entry that asks gets no accounts, rather than empty ones.
+	asking := start(t, testConfig())
+	asking.SetPeers([]structs.Peer{d.Self()})
+	is.Equal(len(readReport(is, asking).Missing()), 1)
+}
+
+// get asks for the report in a form.
+func get(is *is.I, d *Daemon, accept string) *reply {
+	is.Helper()
+	request, err := http.NewRequest(http.MethodGet, "http://"+d.Self().HTTPAddress+api.ReportPath, nil)
+	is.NoErr(err)
+	request.Header.Set("Authorization", api.Authorization(operatorToken))
+	request.Header.Set("Accept", accept)
+	r, err := exchange(request)
+	is.NoErr(err)
+	is.Equal(r.status, http.StatusOK)
+	return r
+}
--- a/internal/report/plot.go
+++ b/internal/report/plot.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"html/template"
 	"image/color"
+	"strconv"
 	"time"
 
 	"gonum.org/v1/plot"
@@ -19,14 +20,16 @@
 
 // Sizes of the plots.
 const (
-	plotHeight = 2.6 * vg.Inch
+	plotHeight = 3.2 * vg.Inch
 	plotWidth  = 7.5 * vg.Inch
 	// groupWidth is what each group of bars adds to a plot's width.
 	groupWidth  = 1.1 * vg.Inch
 	barWidth    = 0.3 * vg.Inch
 	minuteWidth = 0.09 * vg.Inch
-	// legendSpace is the part of the vertical axis that is left for the legend.
-	legendSpace = 1.35
+	// legendSpace stretches the vertical axis, to keep the legend off the bars.
+	legendSpace = 1.6
+	// tickMinutes separates the labels of the time axis.
+	tickMinutes = 10
 )
 
 // causeColors tell the causes apart, also for most colour-blind readers.
@@ -60,6 +63,7 @@
 	p := newPlot("missed jobs a minute")
 	p.X.Label.Text = "minutes before the report"
 	minutes := burn.ByMinute(now, l.Series)
+	p.X.Tick.Marker = minuteTicks(len(minutes))
 	var below *plotter.BarChart
 	for c := burn.Met + 1; c < burn.CauseCount; c++ {
 		bars, err := barsOf(valuesOf(minutes, c), minuteWidth, causeColors[c])
@@ -78,6 +82,14 @@
 	return drawSVG(p, plotWidth)
 }
 
+func minuteTicks(minutes int) plot.ConstantTicks {
+	var ticks plot.ConstantTicks
+	for m := 0; m <= minutes; m += tickMinutes {
+		ticks = append(ticks, plot.Tick{Value: float64(-m), Label: strconv.Itoa(m)})
+	}
+	return ticks
+}
+
 func valuesOf(minutes []burn.Counts, c burn.Cause) plotter.Values {
 	values := make(plotter.Values, len(minutes))
 	for i := range minutes {
