--- /dev/null
+++ b/internal/dispatch/levels_test.go
@@ -0,0 +1,147 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"cactuspost.example/internal/burn"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/structs"
+)
+
+// counts returns what the core has accounted for a service and a team.
+func (b *bench) counts(service, team string) burn.Counts {
+	b.Helper()
+	b.step(&Account{Reply: 1})
+	var sum burn.Counts
+	for _, a := range last[*Accounted](b).Accounts.Snapshot.Accounts {
+		if a.Key != (burn.Key{Service: service, Team: team}) {
+			continue
+		}
+		for _, bucket := range a.Buckets {
+			sum.Add(bucket.Counts)
+		}
+	}
+	return sum
+}
+
+// only is the counts of one job.
+func only(cause burn.Cause) burn.Counts {
+	var c burn.Counts
+	c[cause] = 1
+	return c
+}
+
+// end has the worker's only grant end with an outcome.
+func (b *bench) end(link LinkID, outcome structs.Outcome) {
+	b.Helper()
+	result := structs.Result{Grant: b.grants()[0].ID, Outcome: outcome, RunTime: time.Millisecond}
+	b.step(&AgentMessage{Link: link, Message: &structs.FromAgent{Results: []structs.Result{result}}})
+}
+
+func TestRefusalAtCreateIsAccountedOnce(t *testing.T) {
+	b := newConfiguredBench(t)
+	b.core.tuning.MaxJobs = 5
+	b.step(&CreateJobs{Reply: 1, Team: "a", Service: "s", Count: 6})
+	b.Equal(last[*Refused](b).Failure.Kind, failure.Overloaded)
+	b.Equal(b.counts("s", "a"), only(burn.Refused))
+}
+
+func TestRequestsThatCanNotBeMetAreNotAccounted(t *testing.T) {
+	b := newConfiguredBench(t)
+	b.step(&CreateJobs{Reply: 1, Team: "a", Service: "none", Count: 1})
+	b.step(&CreateJobs{Reply: 2, Team: "nobody", Service: "s", Count: 1})
+	b.step(&CreateJobs{Reply: 3, Team: "a", Service: "s", Count: MaxCreate + 1})
+	empty := b.submission("a", 0)
+	b.submit(empty)
+	b.Equal(last[*Refused](b).Failure.Kind, failure.Invalid)
+	b.step(&Stop{})
+	b.step(&CreateJobs{Reply: 4, Team: "a", Service: "s", Count: 1})
+	b.Equal(last[*Refused](b).Failure.Kind, failure.Draining)
+	b.step(&Account{Reply: 5})
+	b.Equal(len(last[*Accounted](b).Accounts.Snapshot.Accounts), 0)
+}
+
+func TestRefusalsWithoutConfigurationShareAnAccount(t *testing.T) {
+	b := newBench(t)
+	b.step(&CreateJobs{Reply: 1, Team: "a", Service: "made up", Count: 1})
+	b.step(&CreateJobs{Reply: 2, Team: "a", Service: "made up too", Count: 1})
+	b.Equal(b.counts("", "a")[burn.Refused], uint64(2))
+	b.Equal(len(last[*Accounted](b).Accounts.Snapshot.Accounts), 1)
+	b.Equal(len(last[*Accounted](b).Accounts.Objectives), 0)
+}
+
+func TestRefusalAtSubmitIsAccountedOnce(t *testing.T) {
+	b := newConfiguredBench(t)
+	b.worker(1, 0)
+	s := b.submission("c", 2) // the team may have one waiting task
+	for range 3 {
+		b.submit(s)
+	}
+	b.Equal(last[*Refused](b).Failure.Kind, failure.QuotaExceeded)
+	b.Equal(last[*Answered](b).Answer.State, structs.JobFailed)
+	b.pass(21 * time.Second) // the id's lifetime ends too
+	b.Equal(b.counts("s", "c"), only(burn.Refused))
+}
+
+func TestResubmissionsAreAccountedOnce(t *testing.T) {
+	outcomes := map[structs.Outcome]burn.Cause{
+		structs.Succeeded:     burn.Met,
+		structs.Errored:       burn.Failed,
+		structs.LimitExceeded: burn.Straggler,
+		structs.Lost:          burn.EndpointGone,
+	}
+	for outcome, cause := range outcomes {
+		t.Run(cause.String(), func(t *testing.T) {
+			b := newConfiguredBench(t)
+			b.worker(1, 1)
+			s := b.submission("a", 1)
+			b.submit(s)
+			b.submit(s)
+			b.end(1, outcome)
+			b.submit(s)
+			b.pass(21 * time.Second)
+			b.Equal(b.counts("s", "a"), only(cause))
+		})
+	}
+}
+
+func TestShedJobIsAccountedAsQueue(t *testing.T) {
+	b := newConfiguredBench(t)
+	b.worker(1, 0)
+	s := b.submission("a", 1)
+	b.submit(s)
+	b.pass(1100 * time.Millisecond) // beyond the objective
+	b.Equal(last[*Answered](b).Answer.Failure.Kind, failure.Overloaded)
+	b.submit(s)
+	b.Equal(b.counts("s", "a"), only(burn.Queue))
+}
+
+func TestLateStartIsAccountedAsQueue(t *testing.T) {
+	b := newConfiguredBench(t)
+	b.worker(1, 1)
+	b.submit(b.submission("a", 2)) // the second task waits for the first one's slot
+	first := b.grants()[0]
+	b.pass(1100 * time.Millisecond)
+	b.finish(1, first, time.Second, 1)
+	b.end(1, structs.Succeeded)
+	b.Equal(b.counts("s", "a"), only(burn.Queue))
+}
+
+func TestCancelledJobIsNotAccounted(t *testing.T) {
+	b := newConfiguredBench(t)
+	b.worker(1, 0)
+	s := b.submission("a", 1)
+	b.submit(s)
+	b.step(&CancelJob{Reply: 1, ID: s.ID, Team: "a"})
+	b.Equal(b.counts("s", "a"), burn.Counts{})
+}
+
+func TestAgentThatDoesNotComeBackIsAccountedAsEndpointGone(t *testing.T) {
+	b := newConfiguredBench(t)
+	b.worker(1, 1)
+	b.submit(b.submission("a", 1))
+	b.step(&LinkClosed{Link: 1})
+	b.pass(11 * time.Second)
+	b.Equal(b.counts("s", "a"), only(burn.EndpointGone))
+}
