--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -67,3 +67,17 @@
 	is.True(level.ShortAloneP99 > 1.9 && level.ShortAloneP99 < 2.1)
 	is.True(level.ShortBehindP99 > 39 && level.ShortBehindP99 < 41)
 }
+
+func TestByMinuteEndsWithThePresentMinute(t *testing.T) {
+	is := is.New(t)
+	now := noon.Truncate(time.Minute).Add(5 * time.Second)
+	l := NewLedger()
+	for _, age := range []time.Duration{0, 6 * time.Second, 59 * time.Minute, 59*time.Minute + 10*time.Second} {
+		l.Job(now.Add(-age), key, Failed)
+	}
+	minutes := ByMinute(now, Levels(now, []Snapshot{l.Snapshot(now)}, nil)[0].Series)
+	is.Equal(len(minutes), 60)
+	is.Equal(minutes[59][Failed], uint64(1))
+	is.Equal(minutes[58][Failed], uint64(1))
+	is.Equal(minutes[0][Failed], uint64(1)) // the bucket before lies in an earlier minute
+}
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -11,7 +11,8 @@
 // Level is the state of one service for one team.
 type Level struct {
 	Key
-	// Target is the share of jobs that should meet the objective.
+	// Target is the share of jobs that should meet the objective; zero means that
+	// the configuration has no such service, and burn rates mean nothing.
 	Target float64 `json:"target"`
 	// ObjectiveMS is the longest acceptable wait for a start.
 	ObjectiveMS int64 `json:"objective_ms"`
