--- a/internal/entryd/fake_test.go
+++ b/internal/entryd/fake_test.go
@@ -80,6 +80,8 @@
 		return m.Reply
 	case *dispatch.Inspect:
 		return m.Reply
+	case *dispatch.Account:
+		return m.Reply
 	}
 	return 0
 }
@@ -161,6 +163,10 @@
 	if token != "" {
 		request.Header.Set("Authorization", api.Authorization(token))
 	}
+	return perform(client, request)
+}
+
+func perform(client *http.Client, request *http.Request) (*reply, error) {
 	response, err := client.Do(request)
 	if err != nil {
 		return nil, err
--- a/internal/entryd/front_test.go
+++ b/internal/entryd/front_test.go
@@ -75,7 +75,7 @@
 		"an id and more":        {"GET", own + "/x", callerToken, "", failure.UnknownJob, failure.NotRun},
 		"an id never issued":    {"GET", "/v1/jobs/0000000000000000-1-18bcfe56800", callerToken, "", failure.UnknownJob, failure.NotRun},
 		"body too large":        {"POST", "/v1/submit", callerToken, huge, failure.TooLarge, failure.NotRun},
-		"no hook":               {"GET", "/v1/report", operatorToken, "", failure.Unavailable, failure.NotRun},
+		"no hook":               {"GET", "/v1/notes", operatorToken, "", failure.Unavailable, failure.NotRun},
 		// The job of the id may have run before.
 		"job, wrong token":    {"PUT", own, "wrong", oneTask, failure.Unauthorized, failure.Unknown},
 		"job, operator":       {"DELETE", own, operatorToken, "", failure.Forbidden, failure.Unknown},
