--- a/spec/dispatch.pml
+++ b/spec/dispatch.pml
@@ -51,6 +51,9 @@
 #ifndef SHEDS        /* 1: the queue may shed jobs and refuse submissions */
 #define SHEDS 0
 #endif
+#ifndef LIMITS       /* 1: a task may reach its time limit */
+#define LIMITS 0
+#endif
 #ifndef ERRORS       /* 1: tasks may fail */
 #define ERRORS 0
 #endif
@@ -834,6 +837,9 @@
        run_errored[g] = (run_state[g] != run_orphaned);
        run_fire(g, exited)
      }
+#if LIMITS
+  :: d_step { run_state[g] == run_running -> run_fire(g, limit) }
+#endif
   od
 }
 
