--- a/spec/dispatch.pml
+++ b/spec/dispatch.pml
@@ -51,6 +51,9 @@
 #ifndef SHEDS        /* 1: the queue may shed jobs and refuse submissions */
 #define SHEDS 0
 #endif
+#ifndef DIALS        /* failed dials on each pair; set to cover dialing apart */
+#define DIALS 0
+#endif
 #ifndef LIMITS       /* 1: a task may reach its time limit */
 #define LIMITS 0
 #endif
@@ -767,17 +770,30 @@
   fi
 }
 
+inline connect(p) {
+  connection[p]++;
+  whole[p] = 1;
+  link_fire(p, connected)
+}
+
 /* The agent's side of its connection to one entry. */
 proctype AgentLink(byte p) {
+#if DIALS
+  byte failures = DIALS;
+end:
+  do
+  :: d_step { link_state[p] == link_waiting && agent_dials(p) -> link_fire(p, retry) }
+  :: d_step { link_state[p] == link_dialing && failures > 0 -> failures--; link_fire(p, broken) }
+  :: d_step { link_state[p] == link_dialing -> connect(p) }
+#else
 end:
   do
   :: d_step {
        link_state[p] == link_waiting && agent_dials(p) ->
        link_fire(p, retry);
-       connection[p]++;
-       whole[p] = 1;
-       link_fire(p, connected)
+       connect(p)
      }
+#endif
   :: d_step {
        (link_state[p] == link_greeting || link_state[p] == link_up) && down[p]?[kind, argument] ->
        down[p]?kind, argument;
@@ -895,6 +911,15 @@
 end:
   do
   :: d_step { left > 0 && whole[p] -> left--; end_connection(p) }
+#if DIALS
+  /* Nothing arrives for so long that the agent gives the connection up. */
+  :: d_step {
+       left > 0 && whole[p] && (link_state[p] == link_greeting || link_state[p] == link_up) ->
+       left--;
+       discard_input(p);
+       link_fire(p, silent)
+     }
+#endif
   od
 }
 
