--- a/cmd/cactuspost-model/main.go
+++ b/cmd/cactuspost-model/main.go
@@ -15,15 +15,15 @@
 	"cactuspost.example/internal/promela"
 )
 
-// specDir is the specification's folder below the root of the repository.
-const specDir = "spec"
+//go:generate go run . --spec ../../spec generate
 
 func main() {
 	command := &cli.Command{
 		Name:  "cactuspost-model",
 		Usage: "checks the protocols with spin, from the charts that the code interprets",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "spec", Value: "spec", Usage: "the specification's folder"}},
 		Commands: []*cli.Command{
-			{Name: "generate", Usage: "writes " + specDir + "/gen from the charts", Action: generate},
+			{Name: "generate", Usage: "writes the generated files from the charts", Action: generate},
 			{Name: "check", Usage: "checks every model and broken variant", Flags: checkFlags(), Action: check},
 		},
 	}
@@ -40,16 +40,17 @@
 	}
 }
 
-func generate(context.Context, *cli.Command) error {
-	suite, err := promela.LoadSuite(os.DirFS(specDir), charts.Files)
+func generate(_ context.Context, command *cli.Command) error {
+	spec := command.String("spec")
+	suite, err := promela.LoadSuite(os.DirFS(spec), charts.Files)
 	if err != nil {
 		return err
 	}
-	return promela.WriteGenerated(specDir, suite.Definitions)
+	return promela.WriteGenerated(spec, suite.Definitions)
 }
 
 func check(_ context.Context, command *cli.Command) error {
-	suite, err := promela.LoadSuite(os.DirFS(specDir), charts.Files)
+	suite, err := promela.LoadSuite(os.DirFS(command.String("spec")), charts.Files)
 	if err != nil {
 		return err
 	}
--- a/internal/promela/checker.go
+++ b/internal/promela/checker.go
@@ -184,16 +184,36 @@
 		}
 		defs = edited
 	}
-	environment, err := fs.ReadFile(s.Spec, search.Model.File)
+	files, err := s.environments()
 	if err != nil {
-		return errors.WithStack(&FileError{Path: search.Model.File, cause: err})
+		return err
+	}
+	for name, text := range Generated(defs) {
+		files[name] = text
 	}
-	files := Generated(defs)
-	files[search.Model.File] = string(environment)
 	files[mainFile] = mainText(search)
 	return writeFiles(dir, files)
 }
 
+// environments returns the files written by hand, by their path.
+func (s *Suite) environments() (map[string]string, error) {
+	files := map[string]string{}
+	for _, pattern := range []string{"*.pml", "dispatch/*.pml"} {
+		paths, err := fs.Glob(s.Spec, pattern)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		for _, path := range paths {
+			text, err := fs.ReadFile(s.Spec, path)
+			if err != nil {
+				return nil, errors.WithStack(&FileError{Path: path, cause: err})
+			}
+			files[path] = string(text)
+		}
+	}
+	return files, nil
+}
+
 // WriteGenerated writes the generated charts below the specification's folder.
 func WriteGenerated(spec string, defs map[string]*chart.Definition) error {
 	return writeFiles(spec, Generated(defs))
--- a/internal/promela/variant.go
+++ b/internal/promela/variant.go
@@ -17,8 +17,6 @@
 type Variant struct {
 	// Name is the file's name without suffix.
 	Name string `json:"-"`
-	// Doc says what is broken.
-	Doc string `json:"doc"`
 	// Model names the model of the suite that is changed.
 	Model string `json:"model"`
 	// Property names the property that must be violated.
--- a/spec/configuration.pml
+++ b/spec/configuration.pml
@@ -112,7 +112,7 @@
 /* Scratch space of one step. */
 hidden byte offer, n;
 
-/* ---- Rules that a broken variant may replace ---- */
+/* Rules that a broken variant may replace. */
 
 /* The transaction asks for the row's version and for the absence of the id. */
 #ifndef table_compares_version
@@ -135,7 +135,7 @@
 #define entry_polls(i) (in_force[i] < table_revision || revision_state[i] != revision_current)
 #endif
 
-/* ---- Chart proposal ---- */
+/* Chart proposal. */
 
 #define proposal_if_applied(o) (found[o] != 0 && found[o] == digest_of(o))
 #define proposal_if_id_taken(o) (found[o] != 0)
@@ -148,7 +148,7 @@
 #define proposal_do_refuse_unavailable(o) check_without_effect(o)
 #define proposal_do_report_unknown(o) skip
 
-/* ---- Chart revision ---- */
+/* Chart revision. */
 
 #define revision_if_newer(i) (offer > in_force[i])
 #define revision_if_behind(i) (offer < in_force[i])
@@ -189,7 +189,7 @@
   in_force[i] = offer
 }
 
-/* ---- Processes: the table ---- */
+/* Processes: the table. */
 
 inline carry_out(c) {
   check(revision_rises, commit_expected[c] + 1 > table_revision);
@@ -224,7 +224,7 @@
 }
 #endif
 
-/* ---- Processes: an operator ---- */
+/* Processes: an operator. */
 
 #define last_commit_of(o) (first_commit_of(o) + used[o] - 1)
 #define awaits_commit(o) (proposal_state[o] == proposal_writing || proposal_state[o] == proposal_rewriting)
@@ -284,7 +284,7 @@
   od
 }
 
-/* ---- Processes: an instance ---- */
+/* Processes: an instance. */
 
 proctype Watcher(byte i) {
 end:
