Measuring program: policy, baselines and ideal queue on one virtual clock

Cause: the policy's figures were not known. The real entry and agent cores run on fake links with a virtual clock; random push, two choices, join idle queue, late binding and the ideal queue run over the same arrivals.

The policy is not changed yet.

--- /dev/null
+++ b/internal/measure/response.go
@@ -0,0 +1,171 @@
+package measure
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Size says how much a measure runs.
+type Size struct {
+	Seeds []uint64
+	// Length is the time with arrivals in each run.
+	Length time.Duration
+}
+
+// responseLoads are the loads of measures Response and Messages.
+var responseLoads = []float64{0.30, 0.70, 0.95}
+
+// idealName is the row of the ideal queue.
+const idealName = "ideal queue"
+
+const chosenName = "cactuspost"
+
+func contenders(s setup) []contender {
+	return append([]contender{{chosenName, chosen(s)}}, baselines()...)
+}
+
+func baselines() []contender {
+	return []contender{
+		{"random push", newRandomPush},
+		{"two choices", newTwoChoices},
+		{"join idle queue", newJoinIdleQueue},
+		{"late binding", newLateBinding},
+		{idealName, newIdeal},
+	}
+}
+
+const (
+	// ratioScale turns ratios into the whole numbers of a histogram.
+	ratioScale = 1000
+	maxRatio   = 1 << 40
+)
+
+// slowdowns returns the distribution of the response times of the tasks in the
+// interval, each divided by the task's run time on the fastest worker plus one
+// round trip.
+func (t *trial) slowdowns(keep func(j *job, t *task) bool) *hdrhistogram.Histogram {
+	h := hdrhistogram.New(1, maxRatio, 3)
+	for _, j := range t.jobs {
+		for i := range j.tasks {
+			k := &j.tasks[i]
+			if k.finished == 0 || !keep(j, k) {
+				continue
+			}
+			best := k.work + t.deployment.roundTrip()
+			ratio := float64(k.finished-j.at) / float64(best)
+			_ = h.RecordValue(int64(ratio * ratioScale))
+		}
+	}
+	return h
+}
+
+func everyTask(*job, *task) bool { return true }
+
+func quantile(h *hdrhistogram.Histogram, percent float64) float64 {
+	return float64(h.ValueAtQuantile(percent)) / ratioScale
+}
+
+// counts returns the tasks of the load, those that started, and those of jobs
+// that were refused.
+func (t *trial) counts() (all, started, refused int) {
+	for _, j := range t.jobs {
+		for i := range j.tasks {
+			all++
+			started += j.tasks[i].starts
+			if j.failure != nil {
+				refused++
+			}
+		}
+	}
+	return all, started, refused
+}
+
+// responseFigures are the figures of one row.
+type responseFigures struct {
+	quantiles [5]figure
+	// relative has p50 and p99 divided by those of the ideal queue.
+	relative [2]figure
+	refused  figure
+	total    figure
+	wasted   figure
+	causes   [causeCount]figure
+	refusals figure
+}
+
+var responsePercents = [5]float64{50, 90, 99, 99.9, 100}
+
+func (f *responseFigures) take(t *trial, ideal *trial) {
+	own, best := t.slowdowns(everyTask), ideal.slowdowns(everyTask)
+	for i, percent := range responsePercents {
+		f.quantiles[i] = append(f.quantiles[i], quantile(own, percent))
+	}
+	f.relative[0] = append(f.relative[0], quantile(own, 50)/quantile(best, 50))
+	f.relative[1] = append(f.relative[1], quantile(own, 99)/quantile(best, 99))
+	all, started, refused := t.counts()
+	f.refused = append(f.refused, 100*float64(refused)/float64(all))
+	each := float64(max(1, started))
+	f.total = append(f.total, float64(t.messages.total())/each)
+	f.wasted = append(f.wasted, float64(t.messages.wasted())/each)
+	f.refusals = append(f.refusals, float64(t.messages.refused)/each)
+	for i := range f.causes {
+		f.causes[i] = append(f.causes[i], float64(t.messages.sent[i])/each)
+	}
+}
+
+// compare runs all contenders at one load.
+func compare(d Deployment, load float64, size Size) map[string]*responseFigures {
+	figures := map[string]*responseFigures{}
+	list := contenders(usualSetup("north"))
+	for _, seed := range size.Seeds {
+		jobs := newSource(seed, &d, usualKinds()).draw(&d, []string{"north"}, []phase{{size.Length, load}})
+		ideal := try(contender{idealName, newIdeal}, d, seed, jobs, nil)
+		for _, c := range list {
+			if figures[c.name] == nil {
+				figures[c.name] = &responseFigures{}
+			}
+			figures[c.name].take(try(c, d, seed, jobs, nil), ideal)
+		}
+	}
+	return figures
+}
+
+// Response measures response times and messages of all policies.
+func Response(size Size) []*Table {
+	response := &Table{
+		Title: "Response time and messages",
+		Notes: []string{
+			"slowdown: response time of a task over (its run time on the fastest worker + one round trip)",
+			"rel: divided by the ideal queue's; targets for cactuspost at 70 % load: p50 <= 1.1, p99 <= 1.5",
+			"wasted: messages per started task that led to no start; target <= 0.2",
+		},
+		Columns: []string{"deployment", "load", "policy", "p50", "p90", "p99", "p99.9", "max", "rel p50", "rel p99", "refused %", "msgs", "wasted"},
+	}
+	causes := &Table{Title: "Messages per started task, by cause", Columns: []string{"deployment", "load", "policy"}}
+	causes.Columns = append(causes.Columns, causeNames[:]...)
+	causes.Columns = append(causes.Columns, "refused grants")
+	for _, d := range []Deployment{Rivage(), Puthenveettil()} {
+		for _, load := range responseLoads {
+			figures := compare(d, load, size)
+			for _, c := range contenders(setup{}) {
+				addResponse(response, causes, d, load, c.name, figures[c.name])
+			}
+		}
+	}
+	return []*Table{response, causes}
+}
+
+func addResponse(response, causes *Table, d Deployment, load float64, name string, f *responseFigures) {
+	row := []string{d.Name, fmt.Sprintf("%.0f%%", 100*load), name}
+	cells := append([]string(nil), row...)
+	for _, q := range f.quantiles {
+		cells = append(cells, q.String())
+	}
+	cells = append(cells, f.relative[0].String(), f.relative[1].String(), f.refused.String(), f.total.String(), f.wasted.String())
+	response.add(cells...)
+	for _, n := range f.causes {
+		row = append(row, n.String())
+	}
+	causes.add(append(row, f.refusals.String())...)
+}
--- /dev/null
+++ b/internal/measure/system.go
@@ -0,0 +1,379 @@
+package measure
+
+import (
+	"strconv"
+	"time"
+
+	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/dispatch"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/structs"
+)
+
+const (
+	serviceName = "service"
+	poolName    = "pool"
+	// tickPeriod is that of the daemons.
+	tickPeriod = 10 * time.Millisecond
+	lifetime   = time.Hour
+)
+
+// epoch is the time of day at the start of the virtual clock.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// setup is the configuration of the chosen policy for one measure.
+type setup struct {
+	dispatch dispatch.Tuning
+	agent    agent.Tuning
+	service  structs.Service
+	teams    map[string]structs.Team
+}
+
+func usualSetup(teams ...string) setup {
+	s := setup{
+		service: structs.Service{
+			Pool: poolName, StartObjective: 10_000, Target: 0.99, Lifetime: structs.Millis(lifetime.Milliseconds()),
+			MaxTasks: 1000, MaxTaskBytes: 1 << 20, ShortReserve: 0.25,
+		},
+		teams: map[string]structs.Team{},
+	}
+	for _, team := range teams {
+		s.teams[team] = structs.Team{Quotas: map[string]float64{serviceName: 1}}
+	}
+	return s
+}
+
+// system is the chosen policy: the real entry and agent cores on fake links.
+type system struct {
+	*bench
+	setup   setup
+	entries []*entryNode
+	agents  []*agentNode
+	wires   map[dispatch.LinkID]*wire
+	lastID  dispatch.LinkID
+	// grants finds the task of a grant.
+	grants map[structs.GrantID]*task
+	// events counts what the cores reported.
+	events map[event.ID]int
+	// atWorker changes a task's run before it starts; nil means no change.
+	atWorker func(worker int, run time.Duration) (time.Duration, structs.Outcome)
+}
+
+// wire is one connection between an agent and an entry.
+type wire struct {
+	id     dispatch.LinkID
+	dialed agent.LinkID
+	agent  *agentNode
+	entry  *entryNode
+	closed bool
+}
+
+type entryNode struct {
+	system  *system
+	index   int
+	core    *dispatch.Core
+	dead    bool
+	replies map[dispatch.ReplyID]*job
+	ids     map[uint64]*job
+	lastID  dispatch.ReplyID
+	// created is the id that the core issued last.
+	created structs.JobID
+}
+
+type agentNode struct {
+	system *system
+	index  int
+	core   *agent.Core
+	wires  map[agent.LinkID]*wire
+	runs   map[structs.GrantID]*fakeRun
+}
+
+// fakeRun is a task at a fake endpoint.
+type fakeRun struct {
+	grant   structs.Grant
+	started time.Duration
+	over    bool
+}
+
+// chosen returns the policy of the product in the given setup.
+func chosen(s setup) newPolicy {
+	return func(b *bench) policy { return newSystem(b, s) }
+}
+
+func newSystem(b *bench, s setup) *system {
+	y := &system{
+		bench: b, setup: s,
+		wires:  map[dispatch.LinkID]*wire{},
+		grants: map[structs.GrantID]*task{},
+		events: map[event.ID]int{},
+	}
+	for i := range b.deployment.Entries {
+		y.addEntry(i)
+	}
+	for i := range b.deployment.Slowness {
+		y.addAgent(i)
+	}
+	return y
+}
+
+func (y *system) clock() time.Time { return epoch.Add(y.now) }
+
+func (y *system) addEntry(index int) {
+	e := &entryNode{
+		system: y, index: index,
+		core:    dispatch.New(dispatch.Options{Self: peerOf(index), Seed: y.seed, Tuning: y.setup.dispatch}),
+		replies: map[dispatch.ReplyID]*job{},
+		ids:     map[uint64]*job{},
+	}
+	y.entries = append(y.entries, e)
+	document := &structs.Document{
+		Revision: 1, Services: map[string]structs.Service{serviceName: y.setup.service}, Teams: y.setup.teams,
+	}
+	e.step(&dispatch.Configure{Document: document})
+	e.step(&dispatch.SetPeers{Peers: y.peers()})
+	y.every(tickPeriod, e.tick)
+}
+
+func (y *system) peers() []structs.Peer {
+	var peers []structs.Peer
+	for i := range y.deployment.Entries {
+		peers = append(peers, peerOf(i))
+	}
+	return peers
+}
+
+func peerOf(index int) structs.Peer {
+	name := "entry-" + strconv.Itoa(index)
+	return structs.Peer{Name: name, Incarnation: structs.Incarnation(index + 1), LinkAddress: name}
+}
+
+func (y *system) addAgent(index int) {
+	var addresses []string
+	for _, p := range y.peers() {
+		addresses = append(addresses, p.LinkAddress)
+	}
+	a := &agentNode{
+		system: y, index: index,
+		core: agent.New(agent.Options{
+			Endpoint: "worker-" + strconv.Itoa(index), Incarnation: structs.Incarnation(1000 + index),
+			Pool: poolName, Slots: y.deployment.Slots, Entries: addresses, Seed: y.seed, Tuning: y.setup.agent,
+		}),
+		wires: map[agent.LinkID]*wire{},
+		runs:  map[structs.GrantID]*fakeRun{},
+	}
+	y.agents = append(y.agents, a)
+	a.step(&agent.EndpointChanged{Up: true})
+	y.every(tickPeriod, a.tick)
+}
+
+// submit implements policy: the caller asks for an id and sends the tasks. A
+// balancer passes dead entries over.
+func (y *system) submit(j *job) {
+	e := y.entries[j.entry]
+	for e.dead {
+		e = y.entries[(e.index+1)%len(y.entries)]
+	}
+	e.submit(j)
+}
+
+func (e *entryNode) submit(j *job) {
+	reply := e.newReply(j)
+	e.step(&dispatch.CreateJobs{Reply: reply, Team: j.team, Service: serviceName, Count: 1})
+	if j.answered != 0 {
+		return
+	}
+	s := structs.Submission{ID: e.created, Team: j.team, Service: serviceName}
+	for i := range j.tasks {
+		s.Tasks = append(s.Tasks, structs.Task{Kind: j.tasks[i].kind, Declared: j.tasks[i].declared})
+	}
+	e.ids[s.ID.Seq] = j
+	e.step(&dispatch.SubmitJob{Reply: e.newReply(j), Submission: s, Wait: true})
+}
+
+func (e *entryNode) newReply(j *job) dispatch.ReplyID {
+	e.lastID++
+	e.replies[e.lastID] = j
+	return e.lastID
+}
+
+func (e *entryNode) step(m dispatch.Message) {
+	if e.dead {
+		return
+	}
+	e.core.Step(e.system.clock(), m)
+	e.flush()
+}
+
+func (e *entryNode) tick() {
+	if e.dead {
+		return
+	}
+	e.core.Tick(e.system.clock())
+	e.flush()
+}
+
+func (e *entryNode) flush() {
+	e.core.Flush(e.system.clock())
+	for _, effect := range e.core.Effects() {
+		e.carryOut(effect)
+	}
+}
+
+func (e *entryNode) carryOut(effect dispatch.Effect) {
+	y := e.system
+	switch m := effect.(type) {
+	case *dispatch.Created:
+		e.created = m.IDs[0]
+	case *dispatch.Answered:
+		j := e.replies[m.Reply]
+		j.answered = y.now
+		j.complete = m.Answer.State == structs.JobComplete
+		j.failure = m.Answer.Failure
+	case *dispatch.Refused:
+		j := e.replies[m.Reply]
+		j.answered = y.now
+		j.failure = m.Failure
+	case *dispatch.Send:
+		e.send(y.wires[m.Link], m.Message)
+	case *dispatch.CloseLink:
+		y.cut(y.wires[m.Link])
+	case *dispatch.Happened:
+		y.events[m.Event]++
+	}
+}
+
+// send counts a message and delivers it after the delay of the link.
+func (e *entryNode) send(w *wire, m *structs.FromEntry) {
+	y := e.system
+	if w == nil || w.closed {
+		return
+	}
+	y.messages.sent[causeFromEntry(m)]++
+	for _, g := range m.Grants {
+		y.grants[g.ID] = &e.ids[g.ID.Job].tasks[g.ID.Task]
+	}
+	y.after(y.deployment.OneWay, func() {
+		if !w.closed {
+			w.agent.step(&agent.EntryMessage{Link: w.dialed, Message: m})
+		}
+	})
+}
+
+func (a *agentNode) step(m agent.Message) {
+	a.core.Step(a.system.clock(), m)
+	a.flush()
+}
+
+func (a *agentNode) tick() {
+	a.core.Tick(a.system.clock())
+	a.flush()
+}
+
+func (a *agentNode) flush() {
+	a.core.Flush(a.system.clock())
+	for _, effect := range a.core.Effects() {
+		a.carryOut(effect)
+	}
+}
+
+func (a *agentNode) carryOut(effect agent.Effect) {
+	switch m := effect.(type) {
+	case *agent.Dial:
+		a.dial(m)
+	case *agent.CloseLink:
+		a.system.cut(a.wires[m.Link])
+	case *agent.Send:
+		a.send(a.wires[m.Link], m.Message)
+	case *agent.StartTask:
+		a.start(m.Grant)
+	case *agent.StopTask:
+		a.exit(a.runs[m.Grant], structs.Stopped)
+	case *agent.Happened:
+		a.system.events[m.Event]++
+	}
+}
+
+func (a *agentNode) dial(m *agent.Dial) {
+	y := a.system
+	var target *entryNode
+	for _, e := range y.entries {
+		if peerOf(e.index).LinkAddress == m.Address {
+			target = e
+		}
+	}
+	y.lastID++
+	w := &wire{id: y.lastID, dialed: m.Link, agent: a, entry: target}
+	a.wires[m.Link] = w
+	y.wires[w.id] = w
+	y.after(y.deployment.roundTrip(), func() {
+		if target.dead {
+			y.cut(w)
+			return
+		}
+		a.step(&agent.LinkOpened{Link: m.Link})
+	})
+}
+
+// cut ends a connection; both sides hear of it after the delay of the link.
+func (y *system) cut(w *wire) {
+	if w == nil || w.closed {
+		return
+	}
+	w.closed = true
+	y.after(y.deployment.OneWay, func() {
+		w.agent.step(&agent.LinkClosed{Link: w.dialed})
+		w.entry.step(&dispatch.LinkClosed{Link: w.id})
+	})
+}
+
+func (a *agentNode) send(w *wire, m *structs.FromAgent) {
+	y := a.system
+	if w == nil || w.closed {
+		return
+	}
+	if m.Hello == nil {
+		y.messages.sent[causeFromAgent(m)]++
+	}
+	y.messages.refused += len(m.Refusals)
+	y.after(y.deployment.OneWay, func() {
+		if w.closed {
+			return
+		}
+		a.noteResults(m.Results)
+		w.entry.step(&dispatch.AgentMessage{Link: w.id, Message: m})
+	})
+}
+
+// noteResults records when the entry has the results of tasks that succeeded.
+func (a *agentNode) noteResults(results []structs.Result) {
+	for _, r := range results {
+		if r.Outcome == structs.Succeeded {
+			a.system.grants[r.Grant].finished = a.system.now
+		}
+	}
+}
+
+func (a *agentNode) start(g structs.Grant) {
+	y := a.system
+	t := y.grants[g.ID]
+	t.worker = a.index
+	t.started = y.now
+	t.starts++
+	length := time.Duration(float64(t.work) * y.deployment.Slowness[a.index])
+	outcome := structs.Succeeded
+	if y.atWorker != nil {
+		length, outcome = y.atWorker(a.index, length)
+	}
+	r := &fakeRun{grant: g, started: y.now}
+	a.runs[g.ID] = r
+	y.after(length, func() { a.exit(r, outcome) })
+}
+
+func (a *agentNode) exit(r *fakeRun, outcome structs.Outcome) {
+	if r.over {
+		return
+	}
+	r.over = true
+	delete(a.runs, r.grant.ID)
+	a.step(&agent.TaskExited{Grant: r.grant.ID, Outcome: outcome, RunTime: a.system.now - r.started})
+}
--- /dev/null
+++ b/internal/measure/table.go
@@ -0,0 +1,59 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// Table is one part of the report.
+type Table struct {
+	Title string `json:"title"`
+	// Notes say what the columns mean and which targets apply.
+	Notes   []string   `json:"notes"`
+	Columns []string   `json:"columns"`
+	Rows    [][]string `json:"rows"`
+}
+
+func (t *Table) add(cells ...string) { t.Rows = append(t.Rows, cells) }
+
+// Print writes the table as aligned text.
+func (t *Table) Print(w io.Writer) {
+	fmt.Fprintf(w, "%s\n", t.Title)
+	for _, note := range t.Notes {
+		fmt.Fprintf(w, "  %s\n", note)
+	}
+	aligned := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(aligned, strings.Join(t.Columns, "\t"))
+	for _, row := range t.Rows {
+		fmt.Fprintln(aligned, strings.Join(row, "\t"))
+	}
+	_ = aligned.Flush()
+	fmt.Fprintln(w)
+}
+
+// figure is one number, measured once for each seed.
+type figure []float64
+
+// median returns the middle value; of two middle ones the higher.
+func (f figure) median() float64 {
+	if len(f) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(f))
+	return sorted[len(sorted)/2]
+}
+
+// String returns the median and, in brackets, the range over the seeds.
+func (f figure) String() string {
+	if len(f) == 0 {
+		return "-"
+	}
+	low, high := slices.Min(f), slices.Max(f)
+	if low == high {
+		return fmt.Sprintf("%.3g", low)
+	}
+	return fmt.Sprintf("%.3g [%.3g, %.3g]", f.median(), low, high)
+}
--- /dev/null
+++ b/internal/measure/worker.go
@@ -0,0 +1,60 @@
+package measure
+
+import "time"
+
+// fakeWorker is a worker of the baselines: slots and a queue before them.
+type fakeWorker struct {
+	bench *bench
+	index int
+	idle  int
+	queue []*task
+	// ended is called when a task has left its slot, before the queue is looked at.
+	ended func(w *fakeWorker, t *task)
+	// freed is called when a slot is idle and the queue is empty.
+	freed func(w *fakeWorker)
+}
+
+func newWorkers(b *bench) []*fakeWorker {
+	var workers []*fakeWorker
+	for i := range b.deployment.Slowness {
+		workers = append(workers, &fakeWorker{bench: b, index: i, idle: b.deployment.Slots})
+	}
+	return workers
+}
+
+// load is the number of tasks that run or wait.
+func (w *fakeWorker) load() int { return w.bench.deployment.Slots - w.idle + len(w.queue) }
+
+func (w *fakeWorker) push(t *task) {
+	w.queue = append(w.queue, t)
+	w.startWaiting()
+}
+
+func (w *fakeWorker) startWaiting() {
+	for w.idle > 0 && len(w.queue) > 0 {
+		t := w.queue[0]
+		w.queue = w.queue[1:]
+		w.idle--
+		w.run(t)
+	}
+}
+
+// run executes a task in a slot that is already taken.
+func (w *fakeWorker) run(t *task) {
+	t.worker = w.index
+	t.started = w.bench.now
+	t.starts++
+	length := time.Duration(float64(t.work) * w.bench.deployment.Slowness[w.index])
+	w.bench.after(length, func() {
+		w.idle++
+		w.bench.messages.sent[resultMessage]++
+		t.finished = w.bench.now + w.bench.deployment.OneWay
+		if w.ended != nil {
+			w.ended(w, t)
+		}
+		w.startWaiting()
+		if w.idle > 0 && w.freed != nil {
+			w.freed(w)
+		}
+	})
+}
