Fewer messages: demand stands until it is answered, credits stay where they are

Change: demand is told after the grants of a batch, for the agent's part of what waits, and not again before it is answered or out of date; a slot goes back to the entry whose task left it unless others wait much longer; a credit just given isn't taken back; acknowledgements wait 3 s for company; slowness is smoothed more. Cores iterate in a fixed order, so that a run is repeatable.

--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -38,9 +38,6 @@
 
 	credits structs.Credits
 	demand  structs.Demand
-	// headSince is when the entry's next task began to wait, by this clock.
-	headSince time.Time
-	idleTold  uint32
 
 	out *structs.FromAgent
 }
@@ -249,7 +246,6 @@
 		return
 	}
 	l.out.Idle = c.idleElsewhere(l)
-	l.idleTold = l.out.Idle
 	c.emit(&Send{Link: l.id, Message: l.out})
 	l.out = nil
 }
@@ -257,9 +253,9 @@
 // idleElsewhere counts the credits that other entries hold without demand.
 func (c *Core) idleElsewhere(l *link) uint32 {
 	idle := uint32(0)
-	for _, other := range c.links {
-		if other != l && other.wanted() == 0 {
-			idle += other.credits.Total()
+	for _, s := range c.slots {
+		if s.link != l && c.unused(s) {
+			idle++
 		}
 	}
 	return idle
--- a/internal/agent/slot.go
+++ b/internal/agent/slot.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"time"
+
 	"cactuspost.example/internal/chart"
 	"cactuspost.example/internal/structs"
 )
@@ -13,6 +15,8 @@
 	// reserved says that the credit is a Short one.
 	reserved bool
 	long     bool
+	// offeredAt is when the credit was given.
+	offeredAt time.Time
 	// returned says that a task of link has just left the slot, so that a new
 	// credit travels with its result.
 	returned bool
@@ -29,6 +33,7 @@
 func (c *Core) assignSlot(s *slot, l *link, reserved bool) {
 	s.link = l
 	s.reserved = reserved
+	s.offeredAt = c.now
 	s.returned = false
 	offered := &l.message().Offered
 	if reserved {
@@ -104,7 +109,6 @@
 // entries hold unused are taken back for it.
 func (c *Core) takeDemand(l *link, d *structs.Demand) {
 	l.demand = *d
-	l.headSince = c.now.Add(-d.HeadAge)
 	if l.entryLeaving {
 		l.demand = structs.Demand{}
 		return
@@ -114,7 +118,7 @@
 		if need <= 0 {
 			return
 		}
-		if s.state == slotStates.Offered && s.link != l && s.link.wanted() == 0 {
+		if s.link != l && c.unused(s) {
 			c.fireSlot(s, slotEvents.Revoke, nil)
 			need--
 		}
@@ -122,6 +126,16 @@
 	c.convert(l)
 }
 
+// restTime is longer than a round trip to an entry: a credit that is older has
+// met no waiting task there.
+const restTime = 5 * time.Millisecond
+
+// unused reports whether a slot's credit may be taken back for another entry.
+// One that was given just now may have a grant on the way.
+func (c *Core) unused(s *slot) bool {
+	return s.state == slotStates.Offered && s.link.wanted() == 0 && c.now.Sub(s.offeredAt) >= restTime
+}
+
 // convert takes back Short credits when long tasks wait and may have the slots.
 func (c *Core) convert(l *link) {
 	need := int(l.demand.Long) - c.count(slotStates.Free) - int(l.credits.Any)
@@ -156,7 +170,7 @@
 		if need == 0 {
 			return
 		}
-		if s.state == slotStates.Offered && s.link != l && s.link.wanted() == 0 && s.link.credits.Total() > even {
+		if s.link != l && c.unused(s) && s.link.credits.Total() > even {
 			c.fireSlot(s, slotEvents.Revoke, nil)
 			need--
 		}
@@ -200,7 +214,7 @@
 
 func (c *Core) allocateSlot(s *slot) {
 	reserved := c.anyRoom() <= 0
-	if l := c.longestWaiting(reserved); l != nil {
+	if l := c.claimant(s, reserved); l != nil {
 		l.consumeDemand(reserved)
 		c.offer(s, l, reserved)
 		return
@@ -210,22 +224,52 @@
 	}
 }
 
+// claimant returns the entry with waiting tasks that gets a free slot, or nil.
+// A slot goes back to the entry whose task has just left it, since the credit
+// then travels with the result, unless tasks wait much longer elsewhere.
+func (c *Core) claimant(s *slot, reserved bool) *link {
+	best := c.longestWaiting(reserved)
+	if best == nil || !s.returned || s.link == best {
+		return best
+	}
+	own := s.link
+	if own.takesCredits() && own.wants(reserved) && best.demand.HeadAge < patience(own.demand.HeadAge) {
+		return own
+	}
+	return best
+}
+
+// patience returns the age of another entry's first task from which it goes
+// before one with a first task of the given age.
+func patience(age time.Duration) time.Duration { return age + age/2 + minPatience }
+
+// minPatience is longer than entries wait before they ask more agents.
+const minPatience = 100 * time.Millisecond
+
 // longestWaiting returns the entry whose next task has waited longest and could
-// use a credit of the class, or nil.
+// use a credit of the class, or nil. The ages are those of the last messages:
+// counting on would favour the entry that was heard last.
 func (c *Core) longestWaiting(reserved bool) *link {
 	var best *link
 	for _, l := range c.links {
-		wants := l.demand.Short > 0 || (!reserved && l.demand.Long > 0)
-		if !wants || !l.takesCredits() {
+		if !l.takesCredits() || !l.wants(reserved) {
 			continue
 		}
-		if best == nil || l.headSince.Before(best.headSince) {
+		if best == nil || l.demand.HeadAge > best.demand.HeadAge {
 			best = l
 		}
 	}
 	return best
 }
 
+// wants reports whether the entry's demand exceeds the credits that it holds.
+func (l *link) wants(reserved bool) bool {
+	if reserved {
+		return l.demand.Short > l.credits.Total()
+	}
+	return l.wanted() > l.credits.Any+min(l.credits.Short, l.demand.Short)
+}
+
 func (l *link) takesCredits() bool { return l.state == linkStates.Up && !l.entryLeaving }
 
 func (l *link) consumeDemand(reserved bool) {
@@ -233,12 +277,11 @@
 		l.demand.Long--
 		return
 	}
-	l.demand.Short--
+	l.demand.Short -= min(l.demand.Short, 1)
 }
 
 // defaultLink chooses the entry for a slot that nobody asks for: the one whose
-// task has just left it, since the credit then travels with the result, unless
-// another holds clearly fewer.
+// task has just left it, unless it holds far more credits than another.
 func (c *Core) defaultLink(s *slot) *link {
 	var fewest *link
 	for _, l := range c.links {
@@ -249,7 +292,7 @@
 	if fewest == nil || !s.returned || !s.link.takesCredits() {
 		return fewest
 	}
-	if s.link.credits.Total() > fewest.credits.Total()+1 {
+	if s.link.credits.Total() > fewest.credits.Total()+uint32(len(c.slots)/2) {
 		return fewest
 	}
 	return s.link
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -196,7 +196,7 @@
 // shedLate ends jobs that could not start within their objective. Only jobs of
 // which no task has started are shed, so that their refusal is true.
 func (c *Core) shedLate() {
-	for _, p := range c.pools {
+	for _, p := range c.ordered {
 		for _, l := range p.ordered {
 			c.shedLane(l)
 		}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cactuspost.example/internal/chart"
@@ -43,7 +44,10 @@
 	openJobs    int
 	undelivered int
 
-	pools    map[string]*pool
+	pools map[string]*pool
+	// ordered holds the pools in the order of their creation, so that a run is
+	// repeatable.
+	ordered  []*pool
 	sessions map[string]*session
 	links    map[LinkID]*session
 	// closing holds the links that were told to close and may still deliver.
@@ -114,10 +118,10 @@
 		return
 	}
 	c.lastScan = now
-	for _, s := range c.sessions {
-		c.scanSession(s)
-	}
-	for _, p := range c.pools {
+	for _, p := range c.ordered {
+		for _, s := range slices.Clone(p.sessions) {
+			c.scanSession(s)
+		}
 		p.rank()
 	}
 }
@@ -126,12 +130,12 @@
 // call. Call it after each batch of messages and after Tick.
 func (c *Core) Flush(now time.Time) {
 	c.now = now
-	for _, p := range c.pools {
+	for _, p := range c.ordered {
 		c.grantWaiting(p)
 		c.requestCredits(p)
-	}
-	for _, s := range c.sessions {
-		c.flushSession(s)
+		for _, s := range p.sessions {
+			c.flushSession(s)
+		}
 	}
 	if c.openJobs == 0 && c.undelivered == 0 {
 		drainChart.Fire(&c.drain, drainEvents.Idle, c)
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -6,10 +6,15 @@
 	"cactuspost.example/internal/structs"
 )
 
-// demand describes the waiting tasks to one agent, at most as many as it has
-// slots.
-func (p *pool) demand(now time.Time, slots uint32) *structs.Demand {
-	d := &structs.Demand{}
+// demandRefresh is when a demand that did not bring a credit is sent again,
+// however little has changed.
+const demandRefresh = time.Second
+
+// demand describes the waiting tasks to one agent: its part of them, if they
+// were spread over the given number of agents, and at most as many as it has
+// slots. All agents together are then asked for about what is needed.
+func (p *pool) demand(now time.Time, agents int, slots uint32) structs.Demand {
+	d := structs.Demand{}
 	for _, l := range p.ordered {
 		if l.waiting == 0 {
 			continue
@@ -21,57 +26,121 @@
 			d.Short += uint32(l.waiting)
 		}
 	}
-	d.Short = min(d.Short, slots)
-	d.Long = min(d.Long, slots)
+	d.Short = min(partOf(d.Short, agents), slots)
+	d.Long = min(partOf(d.Long, agents), slots)
 	return d
 }
 
+func partOf(waiting uint32, agents int) uint32 {
+	return (waiting + uint32(agents) - 1) / uint32(agents)
+}
+
 // requestCredits tells agents of tasks that wait. Agents at which other
 // entries hold unused credits are told at once. The others return the slots
 // that this entry's own tasks free in any case, so they are told only when the
-// first task has waited for some time.
+// first task has waited for some time, and again when its age has doubled.
+// Messages that leave in any case carry the present demand.
 func (c *Core) requestCredits(p *pool) {
+	agents := p.askableAgents()
+	if agents == 0 {
+		return
+	}
+	for _, s := range p.sessions {
+		if s.out != nil && len(s.out.Grants) > 0 {
+			c.renewDemand(s, agents)
+		}
+	}
 	if p.waiting == 0 {
 		return
 	}
+	c.askIdle(p)
+	if age := c.headAge(p); age >= c.tuning.DemandDelay {
+		c.askMore(p, agents, age)
+	}
+}
+
+// askMore spreads the demand over more agents the longer the first task waits.
+func (c *Core) askMore(p *pool, agents int, age time.Duration) {
+	outstanding := uint32(0)
+	for _, s := range p.sessions {
+		outstanding += s.demanded.Short + s.demanded.Long
+	}
+	budget := uint32(float64(p.waiting) * (1 + age.Seconds()/c.tuning.DemandSpread.Seconds()))
+	for _, s := range p.sessions {
+		if outstanding >= budget {
+			return
+		}
+		if s.askable() && c.demandIsStale(s, age) {
+			c.ask(s, p.demand(c.now, agents, s.slots))
+			outstanding += s.demanded.Short + s.demanded.Long
+		}
+	}
+}
+
+// askIdle asks for credits that other entries hold unused.
+func (c *Core) askIdle(p *pool) {
 	need := uint32(p.waiting)
 	for _, s := range p.sessions {
 		if need == 0 {
-			break
+			return
 		}
-		if s.idle == 0 || !s.askable(c.now, c.tuning.DemandDelay) {
+		if s.idle == 0 || !s.askable() || c.now.Sub(s.demandedAt) < c.tuning.DemandDelay {
 			continue
 		}
 		asked := min(need, s.idle)
 		need -= asked
 		s.idle = 0
-		c.ask(s, asked)
+		c.ask(s, p.demand(c.now, 1, asked))
 	}
-	if need > 0 && c.headAge(p) >= c.tuning.DemandDelay {
-		c.askAll(p)
+}
+
+// renewDemand adds the demand to a message that leaves in any case, unless the
+// agent knows already that nothing waits.
+func (c *Core) renewDemand(s *session, agents int) {
+	d := s.pool.demand(c.now, agents, s.slots)
+	if d != (structs.Demand{}) || s.demanded != (structs.Demand{}) {
+		c.ask(s, d)
+	}
+}
+
+// demandIsStale reports whether an agent should be told although nothing else
+// is sent to it.
+func (c *Core) demandIsStale(s *session, age time.Duration) bool {
+	if s.demanded.Short+s.demanded.Long == 0 {
+		return true
 	}
+	since := c.now.Sub(s.demandedAt)
+	return since >= demandRefresh && age >= 2*s.demanded.HeadAge
 }
 
-func (c *Core) askAll(p *pool) {
+// askableAgents counts the agents that may be sent a demand.
+func (p *pool) askableAgents() int {
+	n := 0
 	for _, s := range p.sessions {
-		if s.askable(c.now, c.tuning.DemandDelay) {
-			c.ask(s, s.slots)
+		if s.askable() {
+			n++
 		}
 	}
+	return n
 }
 
-// askable reports whether an agent may be sent a demand of its own.
-func (s *session) askable(now time.Time, pause time.Duration) bool {
-	return s.state == sessionStates.Up && s.health == healthStates.Healthy && now.Sub(s.demandedAt) >= pause
+func (s *session) askable() bool {
+	return s.state == sessionStates.Up && s.health == healthStates.Healthy
 }
 
-func (c *Core) ask(s *session, atMost uint32) {
-	d := s.pool.demand(c.now, atMost)
-	s.message().Demand = d
-	s.demanded = *d
+func (c *Core) ask(s *session, d structs.Demand) {
+	s.message().Demand = &d
+	s.demanded = d
 	s.demandedAt = c.now
 }
 
+// answered takes offered credits off the demand as the agent has done.
+func (s *session) answered(offered structs.Credits) {
+	long := min(s.demanded.Long, offered.Any)
+	s.demanded.Long -= long
+	s.demanded.Short -= min(s.demanded.Short, offered.Total()-long)
+}
+
 func (c *Core) headAge(p *pool) time.Duration {
 	var age time.Duration
 	for _, l := range p.ordered {
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -112,7 +112,4 @@
 		ID: t.grantID(), Service: t.job.service, Kind: t.kind.name, Long: t.lane.long, Reserved: t.reserved,
 		Limit: c.serviceOf(t.job.service).TaskLimit.Duration(), Payload: t.payload,
 	})
-	m.Demand = s.pool.demand(c.now, s.slots)
-	s.demanded = *m.Demand
-	s.demandedAt = c.now
 }
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -25,7 +25,7 @@
 	// maxCoolings bounds the doublings of the cooling period.
 	maxCoolings = 5
 	// slownessSmoothing is the weight of a new run time in a worker's slowness.
-	slownessSmoothing = 0.1
+	slownessSmoothing = 0.03
 )
 
 func (c *Core) fireHealth(s *session, e chart.Event) {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -58,6 +58,7 @@
 	if p == nil {
 		p = &pool{name: name, lanes: map[laneKey]*lane{}, teams: map[string]*account{}}
 		c.pools[name] = p
+		c.ordered = append(c.ordered, p)
 	}
 	return p
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -33,7 +33,8 @@
 	granted map[structs.GrantID]*task
 	// idle is the number of credits that other entries hold unused there.
 	idle uint32
-	// demanded is the demand last sent, demandedAt when.
+	// demanded is the demand last sent, less the credits offered since;
+	// demandedAt is when it was sent.
 	demanded   structs.Demand
 	demandedAt time.Time
 
@@ -324,7 +325,7 @@
 	}
 	s.credits.any += int(m.Offered.Any) - int(m.Revoked.Any)
 	s.credits.short += int(m.Offered.Short) - int(m.Revoked.Short)
-	s.demanded.Short -= min(s.demanded.Short, m.Offered.Total())
+	s.answered(m.Offered)
 }
 
 func (n *creditCount) add(reserved bool, count int) {
@@ -360,7 +361,7 @@
 	if s.out == nil || s.link == 0 {
 		return
 	}
-	if onlyAcks(s.out) && c.now.Sub(s.ackSince) < c.tuning.AckDelay && len(s.out.Acks) < maxAcks {
+	if onlyAcks(s.out) && c.acksMayWait(s) {
 		return
 	}
 	c.countSent(s.out)
@@ -368,6 +369,12 @@
 	s.out = nil
 }
 
+// acksMayWait reports whether acknowledgements can wait for other messages. A
+// leaving agent ends when it has them all.
+func (c *Core) acksMayWait(s *session) bool {
+	return s.state == sessionStates.Up && c.now.Sub(s.ackSince) < c.tuning.AckDelay && len(s.out.Acks) < maxAcks
+}
+
 // maxAcks bounds the acknowledgements that wait for company.
 const maxAcks = 64
 
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -10,8 +10,11 @@
 	// FirstEstimate is the run time assumed for a kind that was never seen.
 	FirstEstimate time.Duration
 	// DemandDelay is how long the first waiting task waits before every agent of
-	// the pool is told; it also separates repetitions.
+	// the pool is told; it also separates requests for unused credits.
 	DemandDelay time.Duration
+	// DemandSpread is how long the first waiting task waits until twice as many
+	// credits are asked for as tasks wait.
+	DemandSpread time.Duration
 	// AgentGrace is how long a lost agent may take to come back.
 	AgentGrace time.Duration
 	// Cooling is how long a worker on probation gets no work, the first time.
@@ -49,10 +52,11 @@
 	setDuration(&t.LongTask, 1500*time.Millisecond)
 	setDuration(&t.FirstEstimate, 200*time.Millisecond)
 	setDuration(&t.DemandDelay, 20*time.Millisecond)
+	setDuration(&t.DemandSpread, 100*time.Millisecond)
 	setDuration(&t.AgentGrace, 10*time.Second)
 	setDuration(&t.Cooling, 2*time.Second)
 	setDuration(&t.ScanPeriod, 100*time.Millisecond)
-	setDuration(&t.AckDelay, 50*time.Millisecond)
+	setDuration(&t.AckDelay, 3*time.Second)
 	if t.MaxWaitingBytes == 0 {
 		t.MaxWaitingBytes = 64 << 20
 	}
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -15,6 +15,7 @@
 func measures() []measure {
 	return []measure{
 		{"response", Response},
+		{"crest", Crest},
 	}
 }
 
--- a/internal/measure/messages.go
+++ b/internal/measure/messages.go
@@ -30,7 +30,7 @@
 	sent [causeCount]int
 	// refused counts grants that were not started.
 	refused int
-	// useful counts those of the baselines' other messages that led to a start.
+	// useful counts the offers, probes and requests that led to a start.
 	useful int
 }
 
@@ -42,13 +42,16 @@
 	return sum
 }
 
-// wasted counts the messages that neither started a task nor brought a result,
-// with the grants that were refused. The chosen policy's own offers count as
-// wasted even if a grant used the credit.
-func (m *messages) wasted() int {
-	return m.total() - m.sent[grantMessage] - m.sent[resultMessage] - m.useful + m.refused
+// extra counts the messages that carried neither a grant nor a result.
+func (m *messages) extra() int {
+	return m.total() - m.sent[grantMessage] - m.sent[resultMessage]
 }
 
+// wasted counts the messages that led to no start and brought no result, with
+// the grants that were refused. Messages of acknowledgements and of demand count
+// as wasted.
+func (m *messages) wasted() int { return m.extra() - m.useful + m.refused }
+
 func causeFromAgent(m *structs.FromAgent) cause {
 	switch {
 	case len(m.Results) > 0:
--- a/internal/measure/response.go
+++ b/internal/measure/response.go
@@ -89,6 +89,7 @@
 	relative [2]figure
 	refused  figure
 	total    figure
+	extra    figure
 	wasted   figure
 	causes   [causeCount]figure
 	refusals figure
@@ -107,6 +108,7 @@
 	f.refused = append(f.refused, 100*float64(refused)/float64(all))
 	each := float64(max(1, started))
 	f.total = append(f.total, float64(t.messages.total())/each)
+	f.extra = append(f.extra, float64(t.messages.extra())/each)
 	f.wasted = append(f.wasted, float64(t.messages.wasted())/each)
 	f.refusals = append(f.refusals, float64(t.messages.refused)/each)
 	for i := range f.causes {
@@ -138,9 +140,10 @@
 		Notes: []string{
 			"slowdown: response time of a task over (its run time on the fastest worker + one round trip)",
 			"rel: divided by the ideal queue's; targets for cactuspost at 70 % load: p50 <= 1.1, p99 <= 1.5",
+			"extra: messages per started task that carry neither a grant nor a result",
 			"wasted: messages per started task that led to no start; target <= 0.2",
 		},
-		Columns: []string{"deployment", "load", "policy", "p50", "p90", "p99", "p99.9", "max", "rel p50", "rel p99", "refused %", "msgs", "wasted"},
+		Columns: []string{"deployment", "load", "policy", "p50", "p90", "p99", "p99.9", "max", "rel p50", "rel p99", "refused %", "msgs", "extra", "wasted"},
 	}
 	causes := &Table{Title: "Messages per started task, by cause", Columns: []string{"deployment", "load", "policy"}}
 	causes.Columns = append(causes.Columns, causeNames[:]...)
@@ -162,7 +165,7 @@
 	for _, q := range f.quantiles {
 		cells = append(cells, q.String())
 	}
-	cells = append(cells, f.relative[0].String(), f.relative[1].String(), f.refused.String(), f.total.String(), f.wasted.String())
+	cells = append(cells, f.relative[0].String(), f.relative[1].String(), f.refused.String(), f.total.String(), f.extra.String(), f.wasted.String())
 	response.add(cells...)
 	for _, n := range f.causes {
 		row = append(row, n.String())
--- a/internal/measure/system.go
+++ b/internal/measure/system.go
@@ -31,6 +31,8 @@
 
 func usualSetup(teams ...string) setup {
 	s := setup{
+		// Heartbeats are sent by the daemons, which are not part of the bench.
+		agent: agent.Tuning{Silence: lifetime},
 		service: structs.Service{
 			Pool: poolName, StartObjective: 10_000, Target: 0.99, Lifetime: structs.Millis(lifetime.Milliseconds()),
 			MaxTasks: 1000, MaxTaskBytes: 1 << 20, ShortReserve: 0.25,
@@ -61,11 +63,12 @@
 
 // wire is one connection between an agent and an entry.
 type wire struct {
-	id     dispatch.LinkID
-	dialed agent.LinkID
-	agent  *agentNode
-	entry  *entryNode
-	closed bool
+	id      dispatch.LinkID
+	dialed  agent.LinkID
+	agent   *agentNode
+	entry   *entryNode
+	closed  bool
+	credits [2]creditLine
 }
 
 type entryNode struct {
@@ -335,6 +338,7 @@
 		y.messages.sent[causeFromAgent(m)]++
 	}
 	y.messages.refused += len(m.Refusals)
+	w.noteCredits(m)
 	y.after(y.deployment.OneWay, func() {
 		if w.closed {
 			return
@@ -359,6 +363,7 @@
 	t.worker = a.index
 	t.started = y.now
 	t.starts++
+	y.messages.useful += a.useCredit(g)
 	length := time.Duration(float64(t.work) * y.deployment.Slowness[a.index])
 	outcome := structs.Succeeded
 	if y.atWorker != nil {
