Wait until the entries list each other before faults begin

TestSlowTable asked for a job through an entry that had never listed its owner: the table became slow before the second listing (3 s after the start).

--- a/test/faults/bench_test.go
+++ b/test/faults/bench_test.go
@@ -31,7 +31,7 @@
 	longService  = "booking"
 	longLifetime = time.Minute
 	// benchLimit bounds the systems that run at the same time.
-	benchLimit = 2
+	benchLimit = 4
 )
 
 // bench is one running system with its load.
@@ -91,6 +91,7 @@
 	b.publish(0, b.firstNote(lifetime))
 	for i := range b.Entries {
 		b.awaitEntry(i)
+		b.awaitListed(i)
 	}
 	return b
 }
@@ -144,14 +145,29 @@
 	})
 }
 
-// view returns what an entry knows itself.
-func (b *bench) view(entry int) (operator.EntryView, bool) {
+// views returns what an entry knows, and what the others that it lists do.
+func (b *bench) views(entry int) []operator.EntryView {
 	status, body, err := b.operate(http.MethodGet, b.Entries[entry].URL()+api.EndpointsPath, "")
 	var answer operator.EndpointsAnswer
-	if err != nil || status != http.StatusOK || api.DecodeLenient(body, &answer) != nil || len(answer.Entries) == 0 {
+	if err != nil || status != http.StatusOK || api.DecodeLenient(body, &answer) != nil {
+		return nil
+	}
+	return answer.Entries
+}
+
+// view returns what an entry knows itself.
+func (b *bench) view(entry int) (operator.EntryView, bool) {
+	views := b.views(entry)
+	if len(views) == 0 {
 		return operator.EntryView{}, false
 	}
-	return answer.Entries[0], true
+	return views[0], true
+}
+
+// awaitListed returns when an entry knows all the others.
+func (b *bench) awaitListed(entry int) {
+	b.t.Helper()
+	b.until(b.Entries[entry].Name+" lists the others", func() bool { return len(b.views(entry)) == len(b.Entries) })
 }
 
 // awaitEntry returns when an entry takes jobs and every agent is connected.
