--- a/cmd/cactuspost-model/main.go
+++ b/cmd/cactuspost-model/main.go
@@ -11,7 +11,6 @@
 	"github.com/urfave/cli/v3"
 
 	"cactuspost.example/charts"
-	"cactuspost.example/internal/failure"
 	"cactuspost.example/internal/promela"
 )
 
@@ -70,14 +69,7 @@
 	if err != nil {
 		return err
 	}
-	good, err := promela.Report(os.Stdout, results)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	if !good {
-		return failure.New(failure.Internal, failure.Ran, "a model failed or a broken variant was not caught as it names")
-	}
-	return nil
+	return promela.Report(os.Stdout, results)
 }
 
 // workFolder returns the folder to keep, or a temporary one and its removal.
--- a/internal/promela/checker.go
+++ b/internal/promela/checker.go
@@ -115,6 +115,17 @@
 // Unwrap returns the cause.
 func (e *ToolError) Unwrap() error { return e.cause }
 
+// ReportError reports a checker that ended without its report.
+type ReportError struct {
+	Search string
+	Output string
+}
+
+// Error names the search, with the checker's output.
+func (e *ReportError) Error() string {
+	return "no report of the checker on " + e.Search + ":\n" + e.Output
+}
+
 // Check runs every search, a few at a time, each in its own folder below dir,
 // and returns the results in the order of the searches.
 func (s *Suite) Check(dir string, searches []Search) ([]Result, error) {
@@ -262,7 +273,7 @@
 	states := statesPattern.FindStringSubmatch(output)
 	depth := depthPattern.FindStringSubmatch(output)
 	if states == nil || depth == nil {
-		return Result{}, errors.WithStack(&ToolError{Tool: "pan", Search: search.Name(), Output: output, cause: errNoReport})
+		return Result{}, errors.WithStack(&ReportError{Search: search.Name(), Output: output})
 	}
 	result := Result{Search: search, Violated: violated(output)}
 	result.States, _ = strconv.Atoi(states[1])
@@ -274,9 +285,6 @@
 	return result, nil
 }
 
-// errNoReport is the cause when the checker ended without a report.
-var errNoReport = errors.New("no report")
-
 // violated returns the name of the violated property, the checker's own words
 // for an error without a name, or nothing.
 func violated(output string) string {
--- a/internal/promela/promela_test.go
+++ b/internal/promela/promela_test.go
@@ -127,16 +127,19 @@
 
 func TestParseOutputNeedsAReport(t *testing.T) {
 	_, err := parseOutput(Search{}, "Segmentation fault")
-	var fault *ToolError
+	var fault *ReportError
 	is.New(t).True(errors.As(err, &fault))
 }
 
 func TestReportFailsWithOneBadResult(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
-	good, err := Report(&out, []Result{{Exhaustive: true}, {Exhaustive: false}})
-	is.NoErr(err)
-	is.True(!good)
+	whole := Result{Search: Search{Model: Model{Name: "whole"}}, Exhaustive: true}
+	cut := Result{Search: Search{Model: Model{Name: "cut"}}}
+	is.NoErr(Report(&out, []Result{whole}))
+	var bad *VerdictError
+	is.True(errors.As(Report(&out, []Result{whole, cut}), &bad))
+	is.Equal(bad.Searches, []string{"cut"})
 	is.True(strings.Contains(out.String(), "NOT EXHAUSTIVE"))
 }
 
--- a/internal/promela/report.go
+++ b/internal/promela/report.go
@@ -6,19 +6,38 @@
 	"sort"
 	"strings"
 	"text/tabwriter"
+
+	"github.com/pkg/errors"
 )
 
-// Report prints one line for each result and returns whether all are good.
-func Report(out io.Writer, results []Result) (bool, error) {
+// VerdictError reports searches that did not come out as they must.
+type VerdictError struct{ Searches []string }
+
+// Error names the searches.
+func (e *VerdictError) Error() string {
+	return "models that failed, or variants that were not caught: " + strings.Join(e.Searches, ", ")
+}
+
+// Report prints one line for each result. It returns a *VerdictError when one
+// of them is not good.
+func Report(out io.Writer, results []Result) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "search\tsizes\tstates\tdepth\tfound\tverdict")
-	good := true
+	var bad []string
 	for _, r := range results {
-		good = good && r.Good()
+		if !r.Good() {
+			bad = append(bad, r.Search.Name())
+		}
 		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%s\t%s\n",
 			r.Search.Name(), sizesText(r.Search), r.States, r.Depth, foundText(r), verdict(r))
 	}
-	return good, table.Flush()
+	if err := table.Flush(); err != nil {
+		return errors.WithStack(err)
+	}
+	if len(bad) > 0 {
+		return errors.WithStack(&VerdictError{Searches: bad})
+	}
+	return nil
 }
 
 func verdict(r Result) string {
