--- a/internal/entryd/report_test.go
+++ b/internal/entryd/report_test.go
@@ -139,7 +139,7 @@
 	is.NoErr(err)
 	request.Header.Set("Authorization", api.Authorization(operatorToken))
 	request.Header.Set("Accept", accept)
-	r, err := exchange(request)
+	r, err := perform(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, request)
 	is.NoErr(err)
 	is.Equal(r.status, http.StatusOK)
 	return r
