--- a/internal/local/report_test.go
+++ b/internal/local/report_test.go
@@ -52,24 +52,27 @@
 	s.NoErr(err)
 	_, err = release.Publish(ctx, s.site.store, note, false, time.Now)
 	s.NoErr(err)
-	s.awaitRevision(ctx, 2)
+	s.awaitRevision(2)
 	return s
 }
 
-// awaitRevision waits until every entry has the revision.
-func (s *reportSite) awaitRevision(ctx context.Context, revision uint64) {
-	for {
-		views, err := s.site.views(ctx)
-		s.NoErr(err)
-		reached := true
-		for _, view := range views {
-			reached = reached && view.Revision >= revision
+// awaitRevision waits until every entry knows the other one, and each has the
+// revision.
+func (s *reportSite) awaitRevision(revision uint64) {
+	for entry := range s.site.entries {
+		for !reached(s.report(entry), revision) {
+			time.Sleep(readyPause)
 		}
-		if reached {
-			return
+	}
+}
+
+func reached(r *report.Report, revision uint64) bool {
+	for _, entry := range r.Entries {
+		if entry.Revision < revision {
+			return false
 		}
-		time.Sleep(readyPause)
 	}
+	return len(r.Entries) == 2 && len(r.Missing()) == 0
 }
 
 // send returns the body of an answer of the entry.
@@ -137,6 +140,7 @@
 
 	for entry := range 2 {
 		r := s.report(entry)
+		s.Equal(len(r.Entries), 2)
 		s.Equal(len(r.Missing()), 0)
 		s.Equal(len(r.Levels), 2)
 		s.Equal(r.Levels[0].Service, "limited")
