Admission counts the teams of late; long tasks age sooner

Cause: at the crest jobs were shed after their whole objective. Two causes: the first jobs of a wave were admitted as if their team had the pool for itself, and long tasks were passed over until the moment they were shed. Ruled out: the length of the queue at the entry (slots are estimated right). Change: a team's share is taken against all teams that submitted within the objective; admission fills half of the objective, not 0.8; a long task that has waited a tenth of it is not passed over.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -18,7 +18,7 @@
 	minRetry = 100 * time.Millisecond
 	// admittedShare is the part of the objective that the estimated wait may
 	// fill; the rest is for the error of the estimate.
-	admittedShare = 0.8
+	admittedShare = 0.5
 )
 
 // checkCreate returns the service that new jobs would use, or a failure.
@@ -130,6 +130,7 @@
 	if c.waitingBytes > c.tuning.MaxWaitingBytes {
 		return failure.New(failure.Overloaded, failure.NotRun, "too many bytes wait").WithRetry(startRetry)
 	}
+	a.seenAt = c.now
 	wait := c.expectedWait(p, j, s)
 	objective := service.StartObjective.Duration()
 	if wait.Seconds() <= admittedShare*objective.Seconds() {
@@ -165,17 +166,18 @@
 		}
 	}
 	even := float64(total) / float64(max(1, len(c.peers)))
-	return max(1, even, float64(p.running+max(0, p.freeCredits())))
+	return max(1, even, float64(p.running))
 }
 
-// teamShare returns the part of the slots that the team gets while the teams
-// that wait now compete, 0 to 1.
+// teamShare returns the part of the slots that the team gets against the teams
+// that submitted work of late, 0 to 1.
 func (c *Core) teamShare(p *pool, j *job) float64 {
 	own := c.weight(j.team, j.service)
 	sum := own
 	counted := map[string]bool{j.team: true}
 	for _, l := range p.ordered {
-		if l.waiting > 0 && !counted[l.team] {
+		recent := c.now.Sub(l.account.seenAt) < c.objective(l.service)
+		if (l.waiting > 0 || recent) && !counted[l.team] {
 			counted[l.team] = true
 			sum += l.weight
 		}
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -47,7 +47,7 @@
 		if l.waiting == 0 || blocked[l] {
 			continue
 		}
-		if best == nil || l.before(best, c.now, c.overdue) {
+		if best == nil || l.before(best, c.now, c.aged) {
 			best = l
 		}
 	}
@@ -59,6 +59,14 @@
 	return c.now.Sub(l.first().queuedAt) > c.objective(l.service)
 }
 
+// agedShare is the part of its objective after which a long task is not passed
+// over by short ones of its team any more.
+const agedShare = 0.1
+
+func (c *Core) aged(l *lane) bool {
+	return c.now.Sub(l.first().queuedAt).Seconds() > agedShare*c.objective(l.service).Seconds()
+}
+
 func (c *Core) objective(service string) time.Duration {
 	return c.serviceOf(service).StartObjective.Duration()
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -32,6 +32,8 @@
 	waiting int
 	// waitingCost is the estimated slot time of the waiting tasks.
 	waitingCost time.Duration
+	// seenAt is when the team last submitted a job, admitted or not.
+	seenAt time.Time
 }
 
 // laneKey names the tasks that are alike to the policy.
@@ -167,7 +169,7 @@
 }
 
 // before decides which of two lanes with waiting tasks is served first.
-func (l *lane) before(other *lane, now time.Time, overdue func(*lane) bool) bool {
+func (l *lane) before(other *lane, now time.Time, aged func(*lane) bool) bool {
 	if l.account != other.account {
 		return l.account.virtual < other.account.virtual
 	}
@@ -177,8 +179,8 @@
 			late = other
 		}
 		// Within a team short tasks go first, but a long one that has waited
-		// past its objective is not passed over.
-		if !overdue(late) {
+		// for a part of its objective is not passed over.
+		if !aged(late) {
 			return other.long
 		}
 	}
