Entry: a batch looks only at the sessions that it concerns; costs measured

Cause: each flush and each result went over all workers, so a task's cost in the decisions grew with them. Ruled out: the scan for a fast worker with a credit, which stops at the first one at this load (it is what is left of the slope). Change: the pool lists the sessions with unsent messages; the fastest worker is the first of the ranking.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -138,10 +138,7 @@
 	for _, p := range c.ordered {
 		c.grantWaiting(p)
 		c.requestCredits(p)
-		for _, s := range p.sessions {
-			s.release()
-			c.flushSession(s)
-		}
+		c.flushPool(p)
 	}
 	if c.openJobs == 0 && c.undelivered == 0 {
 		drainChart.Fire(&c.drain, drainEvents.Idle, c)
--- a/internal/dispatch/levels.go
+++ b/internal/dispatch/levels.go
@@ -131,10 +131,8 @@
 // accountResult compares a task's response time with the ideal: its run time on
 // the pool's fastest worker, at once, and one round trip.
 func (c *Core) accountResult(s *session, t *task, r *structs.Result) {
-	fastest := s.logSlowness
-	for _, other := range s.pool.sessions {
-		fastest = min(fastest, other.logSlowness)
-	}
+	// The pool's workers are ranked several times a second, fastest first.
+	fastest := min(s.logSlowness, s.pool.sessions[0].logSlowness)
 	ideal := r.RunTime.Seconds()*math.Exp(fastest-s.logSlowness) + idealRoundTrip.Seconds()
 	c.ledger.Task(t.job.key(), c.now.Sub(t.queuedAt).Seconds()/ideal)
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -12,7 +12,9 @@
 type pool struct {
 	name     string
 	sessions []*session
-	lanes    map[laneKey]*lane
+	// unsent lists the sessions with a message that waits to be sent.
+	unsent []*session
+	lanes  map[laneKey]*lane
 	// ordered holds the lanes in the order of their creation, so that choices
 	// among equals are repeatable.
 	ordered []*lane
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -65,6 +65,7 @@
 func (s *session) message() *structs.FromEntry {
 	if s.out == nil {
 		s.out = &structs.FromEntry{}
+		s.pool.unsent = append(s.pool.unsent, s)
 	}
 	return s.out
 }
@@ -100,6 +101,7 @@
 		c.fireSession(s, sessionEvents.Left, nil)
 		c.happened(event.AgentLeft, s.endpoint, "")
 	}
+	s.release()
 }
 
 // openLink handles the first message of a link, which has to be a hello.
@@ -371,10 +373,28 @@
 	s.message().Released = true
 }
 
+// flushPool emits the collected messages. Only the sessions that have one are
+// looked at: there may be hundreds, and a batch concerns a few.
+func (c *Core) flushPool(p *pool) {
+	kept := p.unsent[:0]
+	for _, s := range p.unsent {
+		c.flushSession(s)
+		if s.out != nil {
+			kept = append(kept, s)
+		}
+	}
+	clear(p.unsent[len(kept):])
+	p.unsent = kept
+}
+
 // flushSession emits the collected message. A message of acknowledgements
 // alone waits for others to travel with.
 func (c *Core) flushSession(s *session) {
-	if s.out == nil || s.link == 0 {
+	if s.out == nil {
+		return
+	}
+	if s.link == 0 {
+		s.out = nil
 		return
 	}
 	if onlyAcks(s.out) && c.acksMayWait(s) {
--- /dev/null
+++ b/test/cost/cost_test.go
@@ -0,0 +1,217 @@
+//go:build long
+
+// Package cost measures what the real daemons spend: per task, and at rest, at
+// several sizes. It judges nothing; its tables feed docs/CAPACITY.md.
+//
+//	go test -tags long -run TestCost -v -timeout 20m ./test/cost
+package cost
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cactuspost.example/cactuspost"
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/httpclient"
+	"cactuspost.example/test/cluster"
+)
+
+const (
+	service  = "recession"
+	perJob   = 100
+	callers  = 16
+	restTime = 15 * time.Second
+	askAgain = 100 * time.Millisecond
+	timeout  = 10 * time.Second
+)
+
+var binaries cluster.Binaries
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "cactuspost-cost")
+	if err == nil {
+		binaries, err = cluster.Build(folder)
+	}
+	if err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// site is one running system.
+type site struct {
+	*cluster.Cluster
+	*is.I
+	t    *testing.T
+	http *httpclient.Client
+}
+
+func start(t *testing.T, entries, agents, slots int) *site {
+	t.Helper()
+	c, err := cluster.Start(cluster.Options{Binaries: binaries, Folder: t.TempDir(), Entries: entries, Agents: agents, Slots: slots})
+	s := &site{Cluster: c, I: is.New(t), t: t, http: httpclient.New(nil)}
+	t.Cleanup(func() { s.http.Close(); c.Close() })
+	s.NoErr(err)
+	s.publish()
+	for _, e := range s.Entries {
+		for s.get(e.URL(), "/v1/endpoints", func(line string) bool { return strings.Count(line, `"endpoint"`) >= agents*entries }) == 0 {
+			time.Sleep(askAgain)
+		}
+	}
+	return s
+}
+
+func (s *site) publish() {
+	note := fmt.Sprintf(`{"id": "first", "author": "cost", "summary": "Open the service.", "base": 0, "added": {
+  "services": {%q: {"pool": %q, "start_objective_ms": 600000, "target": 0.9, "lifetime_ms": 60000, "task_limit_ms": 60000}},
+  "teams": {%q: {"quotas": {%q: 1}}}}}`, service, cluster.Pool, cluster.Team, service)
+	for {
+		r, err := s.http.Exchange(context.Background(), httpclient.Request{
+			Method: http.MethodPost, URL: s.Entries[0].URL() + api.NotesPath, Token: cluster.OperatorToken, Body: []byte(note), Timeout: timeout,
+		})
+		if err == nil && r.Status == http.StatusOK {
+			return
+		}
+		time.Sleep(askAgain)
+	}
+}
+
+// get counts the lines of an operators' page that match.
+func (s *site) get(url, path string, matches func(string) bool) int {
+	r, err := s.http.Exchange(context.Background(), httpclient.Request{Method: http.MethodGet, URL: url + path, Token: cluster.OperatorToken, Timeout: timeout})
+	if err != nil {
+		return 0
+	}
+	n := 0
+	lines := bufio.NewScanner(strings.NewReader(string(r.Body)))
+	lines.Buffer(nil, 64<<20)
+	for lines.Scan() {
+		if matches(lines.Text()) {
+			n++
+		}
+	}
+	return n
+}
+
+// gauge reads one metric of a daemon.
+func (s *site) gauge(url, name string) float64 {
+	value := 0.0
+	s.get(url, "/metrics", func(line string) bool {
+		if rest, ok := strings.CutPrefix(line, name+" "); ok {
+			value, _ = strconv.ParseFloat(rest, 64)
+		}
+		return false
+	})
+	return value
+}
+
+// usage is what the daemons of one role have used.
+type usage struct{ cpu, rss float64 }
+
+func (s *site) usage(urls []string) usage {
+	var u usage
+	for _, url := range urls {
+		u.cpu += s.gauge(url, "process_cpu_seconds_total")
+		u.rss = max(u.rss, s.gauge(url, "process_resident_memory_bytes"))
+	}
+	return u
+}
+
+func (s *site) entryURLs() []string {
+	var urls []string
+	for _, e := range s.Entries {
+		urls = append(urls, e.URL())
+	}
+	return urls
+}
+
+func (s *site) agentURLs() []string {
+	var urls []string
+	for _, a := range s.Agents {
+		urls = append(urls, a.URL())
+	}
+	return urls
+}
+
+// load submits jobs of tasks that take no time, and returns the time taken.
+func (s *site) load(jobs int) time.Duration {
+	work := make(chan int, jobs)
+	for i := range jobs {
+		work <- i
+	}
+	close(work)
+	var group sync.WaitGroup
+	begin := time.Now()
+	for i := range callers {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			s.call(i, work)
+		}()
+	}
+	group.Wait()
+	return time.Since(begin)
+}
+
+func (s *site) call(index int, work <-chan int) {
+	urls := s.URLs(index % len(s.Entries))
+	client, err := cactuspost.New(cactuspost.Config{Entries: urls, Token: cluster.CallerToken})
+	s.NoErr(err)
+	defer client.Close()
+	job := cactuspost.Job{Service: service}
+	for range perJob {
+		job.Tasks = append(job.Tasks, cactuspost.Task{Kind: "profile-check", Payload: make([]byte, 200)})
+	}
+	for range work {
+		tickets, err := client.NewTickets(context.Background(), service, 1)
+		s.NoErr(err)
+		_, err = client.Submit(context.Background(), tickets[0], job)
+		s.NoErr(err)
+	}
+}
+
+func TestCostPerTask(t *testing.T) {
+	t.Log("entries agents | tasks/s | entry µs/task | agent µs/task | entry RSS MB | agent RSS MB")
+	for _, size := range []struct{ entries, agents int }{{1, 2}, {1, 4}, {1, 8}, {1, 16}, {2, 8}, {4, 8}} {
+		t.Run(fmt.Sprintf("%dx%d", size.entries, size.agents), func(t *testing.T) {
+			s := start(t, size.entries, size.agents, 16)
+			s.load(50) // kinds, connections and code are warm after this
+			entries, agents := s.usage(s.entryURLs()), s.usage(s.agentURLs())
+			const jobs = 400
+			took := s.load(jobs)
+			entriesAfter, agentsAfter := s.usage(s.entryURLs()), s.usage(s.agentURLs())
+			tasks := float64(jobs * perJob)
+			t.Logf("%d %d | %.0f | %.1f | %.1f | %.0f | %.0f", size.entries, size.agents, tasks/took.Seconds(),
+				1e6*(entriesAfter.cpu-entries.cpu)/tasks, 1e6*(agentsAfter.cpu-agents.cpu)/tasks,
+				entriesAfter.rss/1e6, agentsAfter.rss/1e6)
+		})
+	}
+}
+
+func TestCostAtRest(t *testing.T) {
+	t.Log("entries agents | entry % of a core | agent % of a core | entry RSS MB | agent RSS MB")
+	for _, size := range []struct{ entries, agents int }{{1, 2}, {1, 10}, {1, 20}, {1, 40}, {2, 10}, {4, 10}, {8, 10}} {
+		t.Run(fmt.Sprintf("%dx%d", size.entries, size.agents), func(t *testing.T) {
+			s := start(t, size.entries, size.agents, 8)
+			entries, agents := s.usage(s.entryURLs()), s.usage(s.agentURLs())
+			time.Sleep(restTime)
+			entriesAfter, agentsAfter := s.usage(s.entryURLs()), s.usage(s.agentURLs())
+			t.Logf("%d %d | %.2f | %.2f | %.0f | %.0f", size.entries, size.agents,
+				100*(entriesAfter.cpu-entries.cpu)/restTime.Seconds()/float64(size.entries),
+				100*(agentsAfter.cpu-agents.cpu)/restTime.Seconds()/float64(size.agents),
+				entriesAfter.rss/1e6, agentsAfter.rss/1e6)
+		})
+	}
+}
