A kind counts as long until it has shown otherwise; measure of short behind long

Change: a kind without results is long. The batch of 3 to 6 s tasks now waits for the unreserved slots. Wrong declared times change nothing: they are not used.

--- a/internal/dispatch/kinds.go
+++ b/internal/dispatch/kinds.go
@@ -82,10 +82,11 @@
 	}
 }
 
-// isLong reports whether tasks of a kind count as long.
+// isLong reports whether tasks of a kind count as long. A kind that was never
+// seen does: a batch of it could fill the short reserve before its first end.
 func (c *Core) isLong(k *kind, declared time.Duration) bool {
 	if c.tuning.Estimates != Observed {
 		return c.estimate(k, declared) >= c.tuning.LongTask
 	}
-	return k.mean > 0 && math.Exp(k.logMean) >= c.tuning.LongTask.Seconds()
+	return k.samples < minOutcomes || math.Exp(k.logMean) >= c.tuning.LongTask.Seconds()
 }
--- /dev/null
+++ b/internal/measure/blocking.go
@@ -0,0 +1,183 @@
+package measure
+
+import (
+	"slices"
+	"time"
+
+	"cactuspost.example/internal/dispatch"
+)
+
+const (
+	// batchObjective is the start objective of the batch's service.
+	batchObjective = 10 * time.Minute
+	batchStart     = 30 * time.Second
+	// blockingWindow is the time in which the batch fills the pool.
+	blockingWindow = 40 * time.Second
+	batchJobTasks  = 100
+	// batchLoad is what the batch brings for the window relative to the capacity.
+	batchLoad = 1.2
+	// wrongFactor is how far declared times are off.
+	wrongFactor = 10
+)
+
+// declaration changes the declared times of a load.
+type declaration struct {
+	name   string
+	change func(t *task, number int) time.Duration
+}
+
+func declarations() []declaration {
+	return []declaration{
+		{"right", func(t *task, _ int) time.Duration { return t.work }},
+		{"x10", func(t *task, _ int) time.Duration { return t.work * wrongFactor }},
+		{"/10", func(t *task, _ int) time.Duration { return t.work / wrongFactor }},
+		{"x10 or /10", func(t *task, number int) time.Duration {
+			if number%2 == 0 {
+				return t.work * wrongFactor
+			}
+			return t.work / wrongFactor
+		}},
+	}
+}
+
+func declare(jobs []*job, d declaration) []*job {
+	clones := cloneJobs(jobs)
+	for number, j := range clones {
+		for i := range j.tasks {
+			j.tasks[i].declared = d.change(&j.tasks[i], number)
+		}
+	}
+	return clones
+}
+
+// shortKinds is the usual mix without tasks of several seconds.
+func shortKinds() []kind { return usualKinds()[:3] }
+
+// batchJobs fills the pool with long tasks of one kind for the window.
+func batchJobs(d *Deployment, seed uint64, team string) []*job {
+	s := newSource(seed+1000, d, nil)
+	k := kind{name: batchKind, least: 3 * time.Second, most: 6 * time.Second}
+	var jobs []*job
+	work := 0.0
+	for work < batchLoad*d.capacity()*blockingWindow.Seconds() {
+		j := &job{at: batchStart, team: team, service: batchName, entry: len(jobs) % d.Entries}
+		for range batchJobTasks {
+			j.tasks = append(j.tasks, s.task(k))
+		}
+		work += workOf(j).Seconds()
+		jobs = append(jobs, j)
+	}
+	return jobs
+}
+
+// blockingCase is one situation of the measure.
+type blockingCase struct {
+	name      string
+	batchTeam string
+	// load is that of the short tasks relative to the capacity. The short
+	// reserve is a quarter of the slots.
+	load float64
+}
+
+func blockingCases() []blockingCase {
+	return []blockingCase{
+		{"own team, load 15 %", "records", 0.15},
+		{"same team, load 15 %", "counter", 0.15},
+		{"own team, load 40 %", "records", 0.40},
+	}
+}
+
+// batchKind is seen for the first time when the batch arrives.
+const batchKind = "audit"
+
+// estimates are the ways to foretell run times.
+type estimates struct {
+	name   string
+	source dispatch.EstimateSource
+}
+
+func allEstimates() []estimates {
+	return []estimates{
+		{"observed", dispatch.Observed},
+		{"declared", dispatch.Declared},
+		{"averages", dispatch.Averaged},
+		{"correction only", dispatch.Corrected},
+	}
+}
+
+// blockingFigures are the figures of one row.
+type blockingFigures struct{ alone, with, ratio, loss figure }
+
+// Blocking measures short tasks beside a batch of long ones.
+func Blocking(size Size) []*Table {
+	t := &Table{
+		Title: "Short behind long: a batch of 3 to 6 s tasks fills the pool for 40 s",
+		Notes: []string{
+			"p99: slowdown of short tasks that arrive in these 40 s, without and with the batch; target for the ratio <= 1.5",
+			"batch loss %: capacity of the 40 s that neither short tasks nor the batch used; target <= 10",
+			"declared times wrong by 10 x either way are to change neither by more than 10 %",
+		},
+		Columns: []string{"deployment", "case", "policy", "estimates", "declared", "p99 alone", "p99 with batch", "ratio", "batch loss %"},
+	}
+	for _, d := range []Deployment{Rivage(), Puthenveettil()} {
+		for _, c := range blockingCases() {
+			for _, e := range allEstimates() {
+				for _, w := range declarations() {
+					s := usualSetup("counter", "records")
+					s.dispatch.Estimates = e.source
+					addBlocking(t, d, c, w, contender{chosenName, chosen(s)}, e.name, size)
+				}
+			}
+			for _, b := range baselines() {
+				addBlocking(t, d, c, declarations()[0], b, "-", size)
+			}
+		}
+	}
+	return []*Table{t}
+}
+
+func addBlocking(t *Table, d Deployment, c blockingCase, w declaration, p contender, estimates string, size Size) {
+	f := blockingOf(d, c, w, p, size)
+	t.add(d.Name, c.name, p.name, estimates, w.name, f.alone.String(), f.with.String(), f.ratio.String(), f.loss.String())
+}
+
+func blockingOf(d Deployment, c blockingCase, w declaration, p contender, size Size) *blockingFigures {
+	f := &blockingFigures{}
+	for _, seed := range size.Seeds {
+		before := newSource(seed, &d, usualKinds()).draw(&d, []string{"counter"}, []phase{{batchStart, c.load}})
+		during := newSource(seed, &d, shortKinds()).draw(&d, []string{"counter"}, []phase{{blockingWindow, c.load}})
+		for _, j := range during {
+			j.at += batchStart
+		}
+		jobs := append(before, during...)
+		batch := batchJobs(&d, seed, c.batchTeam)
+		alone := try(p, d, seed, declare(jobs, w), nil)
+		with := try(p, d, seed, declare(inOrder(append(batch, jobs...)), w), nil)
+		f.take(alone, with)
+	}
+	return f
+}
+
+// inOrder sorts jobs by their arrival.
+func inOrder(jobs []*job) []*job {
+	slices.SortStableFunc(jobs, func(a, b *job) int { return int(a.at - b.at) })
+	return jobs
+}
+
+func (f *blockingFigures) take(alone, with *trial) {
+	from := settleTime + batchStart
+	to := from + blockingWindow
+	short := func(j *job, _ *task) bool { return j.service == serviceName && j.at >= from }
+	f.alone = append(f.alone, quantile(alone.slowdowns(short), 99))
+	f.with = append(f.with, quantile(with.slowdowns(short), 99))
+	f.ratio = append(f.ratio, quantile(with.slowdowns(short), 99)/quantile(alone.slowdowns(short), 99))
+	used := 0.0
+	for _, j := range with.jobs {
+		for i := range j.tasks {
+			k := &j.tasks[i]
+			used += with.overlap(k, from, to).Seconds() / with.deployment.Slowness[k.worker]
+		}
+	}
+	idle := with.deployment.capacity()*blockingWindow.Seconds() - used
+	f.loss = append(f.loss, 100*idle/(with.deployment.capacity()*blockingWindow.Seconds()))
+}
--- /dev/null
+++ b/internal/measure/faults.go
@@ -0,0 +1,4 @@
+package measure
+
+// Faults measures the policy while parts fail.
+func Faults(Size) []*Table { return nil }
--- a/internal/measure/load.go
+++ b/internal/measure/load.go
@@ -56,10 +56,11 @@
 
 // job is one arrival of the load, with what became of it.
 type job struct {
-	at    time.Duration
-	team  string
-	entry int
-	tasks []task
+	at      time.Duration
+	team    string
+	service string
+	entry   int
+	tasks   []task
 	// answered is when the entry had the answer for the caller; zero means that
 	// the caller got none.
 	answered time.Duration
@@ -122,7 +123,7 @@
 
 func (s *source) job(at time.Duration, team string) *job {
 	k := s.pickKind()
-	j := &job{at: at, team: team, entry: s.rng.IntN(s.entries)}
+	j := &job{at: at, team: team, service: serviceName, entry: s.rng.IntN(s.entries)}
 	for range 1 + s.rng.IntN(k.largest) {
 		j.tasks = append(j.tasks, s.task(k))
 	}
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -16,6 +16,8 @@
 	return []measure{
 		{"response", Response},
 		{"crest", Crest},
+		{"blocking", Blocking},
+		{"faults", Faults},
 	}
 }
 
--- a/internal/measure/system.go
+++ b/internal/measure/system.go
@@ -12,6 +12,7 @@
 
 const (
 	serviceName = "service"
+	batchName   = "batch"
 	poolName    = "pool"
 	// tickPeriod is that of the daemons.
 	tickPeriod = 10 * time.Millisecond
@@ -26,7 +27,9 @@
 	dispatch dispatch.Tuning
 	agent    agent.Tuning
 	service  structs.Service
-	teams    map[string]structs.Team
+	// batch is a second service of the same pool.
+	batch structs.Service
+	teams map[string]structs.Team
 }
 
 func usualSetup(teams ...string) setup {
@@ -40,8 +43,10 @@
 		teams: map[string]structs.Team{},
 	}
 	for _, team := range teams {
-		s.teams[team] = structs.Team{Quotas: map[string]float64{serviceName: 1}}
+		s.teams[team] = structs.Team{Quotas: map[string]float64{serviceName: 1, batchName: 1}}
 	}
+	s.batch = s.service
+	s.batch.StartObjective = structs.Millis(batchObjective.Milliseconds())
 	return s
 }
 
@@ -130,7 +135,8 @@
 	}
 	y.entries = append(y.entries, e)
 	document := &structs.Document{
-		Revision: 1, Services: map[string]structs.Service{serviceName: y.setup.service}, Teams: y.setup.teams,
+		Revision: 1, Teams: y.setup.teams,
+		Services: map[string]structs.Service{serviceName: y.setup.service, batchName: y.setup.batch},
 	}
 	e.step(&dispatch.Configure{Document: document})
 	e.step(&dispatch.SetPeers{Peers: y.peers()})
@@ -181,11 +187,11 @@
 
 func (e *entryNode) submit(j *job) {
 	reply := e.newReply(j)
-	e.step(&dispatch.CreateJobs{Reply: reply, Team: j.team, Service: serviceName, Count: 1})
+	e.step(&dispatch.CreateJobs{Reply: reply, Team: j.team, Service: j.service, Count: 1})
 	if j.answered != 0 {
 		return
 	}
-	s := structs.Submission{ID: e.created, Team: j.team, Service: serviceName}
+	s := structs.Submission{ID: e.created, Team: j.team, Service: j.service}
 	for i := range j.tasks {
 		s.Tasks = append(s.Tasks, structs.Task{Kind: j.tasks[i].kind, Declared: j.tasks[i].declared})
 	}
