--- a/internal/measure/faults.go
+++ b/internal/measure/faults.go
@@ -1,4 +1,190 @@
 package measure
 
+import (
+	"time"
+
+	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/dispatch"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/structs"
+)
+
+const (
+	faultLoad  = 0.5
+	faultStart = 30 * time.Second
+	faultEnd   = 90 * time.Second
+	// failingRun is how long the worker takes to fail a task.
+	failingRun = 5 * time.Millisecond
+	slowFactor = 10
+)
+
+// fault is one disturbance of a run of the chosen policy.
+type fault struct {
+	name  string
+	begin func(f *faultRun)
+}
+
+// faultRun is one run with a fault.
+type faultRun struct {
+	*system
+	// lostBefore and lostAfter count the starts on a failing worker until all
+	// entries had it on probation, and from then on.
+	lostBefore, lostAfter int
+	// startsAfterLeave counts starts on workers that had begun to leave.
+	startsAfterLeave int
+	cancelled        int
+}
+
+func faults() []fault {
+	return []fault{
+		{"none", func(*faultRun) {}},
+		{"fastest worker fails every task", (*faultRun).failWorker},
+		{"fastest worker turns 10 x slower", (*faultRun).slowWorker},
+		{"entry killed", (*faultRun).killEntry},
+		{"half of the pool leaves", (*faultRun).leaveHalf},
+		{"every second open job cancelled", (*faultRun).cancelHalf},
+	}
+}
+
+func (f *faultRun) failWorker() {
+	f.atWorker = func(worker int, run time.Duration) (time.Duration, structs.Outcome) {
+		if worker != 0 {
+			return run, structs.Succeeded
+		}
+		if f.events[event.WorkerOnProbation] < f.deployment.Entries {
+			f.lostBefore++
+		} else {
+			f.lostAfter++
+		}
+		return failingRun, structs.Errored
+	}
+}
+
+func (f *faultRun) slowWorker() {
+	f.atWorker = func(worker int, run time.Duration) (time.Duration, structs.Outcome) {
+		if worker == 0 {
+			run *= slowFactor
+		}
+		return run, structs.Succeeded
+	}
+}
+
+func (f *faultRun) killEntry() {
+	e := f.entries[0]
+	e.dead = true
+	for _, a := range f.agents {
+		if w := a.wireOf(peerOf(e.index).Incarnation); w != nil {
+			f.cut(w)
+		}
+	}
+}
+
+func (f *faultRun) leaveHalf() {
+	left := map[int]bool{}
+	for i := 0; i < len(f.agents); i += 2 {
+		left[i] = true
+		f.agents[i].step(&agent.Stop{})
+	}
+	f.atWorker = func(worker int, run time.Duration) (time.Duration, structs.Outcome) {
+		if left[worker] {
+			f.startsAfterLeave++
+		}
+		return run, structs.Succeeded
+	}
+}
+
+func (f *faultRun) cancelHalf() {
+	for _, e := range f.entries {
+		for seq := uint64(1); seq <= uint64(len(e.ids)); seq++ {
+			j := e.ids[seq]
+			if j == nil || j.answered != 0 || seq%2 == 0 {
+				continue
+			}
+			f.cancelled++
+			e.cancel(j)
+		}
+		e.flush()
+	}
+}
+
+func (e *entryNode) cancel(j *job) {
+	e.core.Step(e.system.clock(), &dispatch.CancelJob{Reply: e.newReply(j), ID: j.id, Team: j.team})
+}
+
+// faultFigures are the figures of one row.
+type faultFigures struct {
+	p99, failed, unanswered, twice, before, after, leaving, cancels figure
+}
+
 // Faults measures the policy while parts fail.
-func Faults(Size) []*Table { return nil }
+func Faults(size Size) []*Table {
+	t := &Table{
+		Title: "Faults at 50 % load, 60 s from the fault on",
+		Notes: []string{
+			"p99: slowdown of the tasks that arrive after the fault",
+			"failed %: jobs that failed or were refused, of those that arrive after the fault; unanswered %: jobs of a killed entry, of all",
+			"twice: tasks that started twice; target 0",
+			"lost before / after: tasks started on a failing worker until both entries knew, and after it in % of all starts; target <= 1 % after",
+			"leaving: starts on workers after they said that they leave; target 0",
+			"cancels: messages of cancellation alone per cancelled job",
+		},
+		Columns: []string{"deployment", "fault", "p99", "failed %", "unanswered %", "twice", "lost before", "lost after %", "leaving", "cancels"},
+	}
+	for _, d := range []Deployment{Rivage(), Puthenveettil()} {
+		for _, k := range faults() {
+			f := &faultFigures{}
+			for _, seed := range size.Seeds {
+				f.run(d, seed, k)
+			}
+			t.add(d.Name, k.name, f.p99.String(), f.failed.String(), f.unanswered.String(), f.twice.String(),
+				f.before.String(), f.after.String(), f.leaving.String(), f.cancels.String())
+		}
+	}
+	return []*Table{t}
+}
+
+func (f *faultFigures) run(d Deployment, seed uint64, k fault) {
+	jobs := newSource(seed, &d, usualKinds()).draw(&d, []string{"north"}, []phase{{faultEnd, faultLoad}})
+	r := &faultRun{}
+	cancelsBefore := 0
+	t := try(contender{chosenName, chosen(usualSetup("north"))}, d, seed, jobs, func(b *bench, p policy) {
+		r.system = p.(*system)
+		b.at(settleTime+faultStart, func() {
+			cancelsBefore = b.messages.sent[cancelMessage]
+			k.begin(r)
+		})
+	})
+	after := func(j *job, _ *task) bool { return j.at >= settleTime+faultStart }
+	f.p99 = append(f.p99, quantile(t.slowdowns(after), 99))
+	f.takeJobs(t)
+	f.before = append(f.before, float64(r.lostBefore))
+	_, started, _ := t.counts()
+	f.after = append(f.after, 100*float64(r.lostAfter)/float64(started))
+	f.leaving = append(f.leaving, float64(r.startsAfterLeave))
+	if r.cancelled > 0 {
+		f.cancels = append(f.cancels, float64(t.messages.sent[cancelMessage]-cancelsBefore)/float64(r.cancelled))
+	}
+}
+
+func (f *faultFigures) takeJobs(t *trial) {
+	arrived, failed, unanswered, twice := 0, 0, 0, 0
+	for _, j := range t.jobs {
+		if j.answered == 0 {
+			unanswered++
+		}
+		for i := range j.tasks {
+			if j.tasks[i].starts > 1 {
+				twice++
+			}
+		}
+		if j.at >= settleTime+faultStart {
+			arrived++
+			if j.failure != nil {
+				failed++
+			}
+		}
+	}
+	f.failed = append(f.failed, 100*float64(failed)/float64(arrived))
+	f.unanswered = append(f.unanswered, 100*float64(unanswered)/float64(len(t.jobs)))
+	f.twice = append(f.twice, float64(twice))
+}
--- a/internal/measure/load.go
+++ b/internal/measure/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/structs"
 )
 
 // Deployment is a set of workers of one service, with the entries before it.
@@ -60,7 +61,9 @@
 	team    string
 	service string
 	entry   int
-	tasks   []task
+	// id is set by the chosen policy.
+	id    structs.JobID
+	tasks []task
 	// answered is when the entry had the answer for the caller; zero means that
 	// the caller got none.
 	answered time.Duration
--- a/internal/measure/system.go
+++ b/internal/measure/system.go
@@ -196,6 +196,7 @@
 		s.Tasks = append(s.Tasks, structs.Task{Kind: j.tasks[i].kind, Declared: j.tasks[i].declared})
 	}
 	e.ids[s.ID.Seq] = j
+	j.id = s.ID
 	e.step(&dispatch.SubmitJob{Reply: e.newReply(j), Submission: s, Wait: true})
 }
 
