--- a/internal/measure/load.go
+++ b/internal/measure/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/structs"
 )
 
 // Deployment is a set of workers of one service, with the entries before it.
@@ -56,9 +57,12 @@
 
 // job is one arrival of the load, with what became of it.
 type job struct {
-	at    time.Duration
-	team  string
-	entry int
+	at      time.Duration
+	team    string
+	service string
+	entry   int
+	// id is set by the chosen policy.
+	id    structs.JobID
 	tasks []task
 	// answered is when the entry had the answer for the caller; zero means that
 	// the caller got none.
@@ -122,7 +126,7 @@
 
 func (s *source) job(at time.Duration, team string) *job {
 	k := s.pickKind()
-	j := &job{at: at, team: team, entry: s.rng.IntN(s.entries)}
+	j := &job{at: at, team: team, service: serviceName, entry: s.rng.IntN(s.entries)}
 	for range 1 + s.rng.IntN(k.largest) {
 		j.tasks = append(j.tasks, s.task(k))
 	}
