--- a/test/faults/bench_test.go
+++ b/test/faults/bench_test.go
@@ -190,12 +190,13 @@
 
 // load is what the callers do.
 type load struct {
+	service  string
 	callers  int
 	maxTasks int
 	sleep    time.Duration
 }
 
-var crowd = load{callers: 12, maxTasks: 4, sleep: 20 * time.Millisecond}
+var crowd = load{service: service, callers: 12, maxTasks: 4, sleep: 20 * time.Millisecond}
 
 // startLoad starts callers and waits until they are at full rate.
 func (b *bench) startLoad(l load) {
@@ -208,6 +209,7 @@
 		c, err := newCaller(b.nextID, token, b.URLs, b.ledger)
 		b.is.NoErr(err)
 		b.nextID++
+		c.service = l.service
 		c.maxTasks = l.maxTasks
 		c.sleep = l.sleep
 		b.callers.Go(func() { c.run(b.ctx, b.stop) })
--- a/test/faults/caller_test.go
+++ b/test/faults/caller_test.go
@@ -30,6 +30,7 @@
 	first, second *cactuspost.Client
 	ledger        *actor.Inbox[ledgerMessage]
 	rng           *rand.Rand
+	service       string
 	maxTasks      int
 	sleep         time.Duration
 	jobs          int
@@ -60,7 +61,7 @@
 			return
 		default:
 		}
-		tickets, err := c.first.NewTickets(ctx, service, 1)
+		tickets, err := c.first.NewTickets(ctx, c.service, 1)
 		if err != nil {
 			pause(ctx, askAgain)
 			continue
@@ -114,7 +115,7 @@
 }
 
 func (c *caller) newJob(s *submission) cactuspost.Job {
-	job := cactuspost.Job{Service: service}
+	job := cactuspost.Job{Service: c.service}
 	for i := range 1 + c.rng.IntN(c.maxTasks) {
 		echo := fmt.Sprintf("caller-%d-job-%d-task-%d", c.index, c.jobs, i)
 		s.echoes = append(s.echoes, echo)
--- a/test/faults/freeze_test.go
+++ b/test/faults/freeze_test.go
@@ -64,10 +64,13 @@
 }
 
 // TestFrozenAgent freezes an agent under load until its entries give it up, and
-// thaws it. It comes back with results that nobody waits for any more.
+// thaws it. It comes back with results that nobody waits for any more: their
+// jobs live on for longer than that, and none of their tasks starts elsewhere.
 func TestFrozenAgent(t *testing.T) {
 	b := startBench(t, small)
-	b.startLoad(crowd)
+	lasting := crowd
+	lasting.service = longService
+	b.startLoad(lasting)
 	a := b.Agents[0]
 	a.Freeze()
 	b.injected("agent frozen", 1)
@@ -85,6 +88,7 @@
 		b.awaitEntry(i)
 	}
 	recovery := b.awaitRate()
-	b.finish()
+	f := b.finish()
 	t.Logf("recovery %v", recovery)
+	b.is.True(f.Kinds[cactuspost.EndpointLost] > 0)
 }
--- a/test/faults/long_test.go
+++ b/test/faults/long_test.go
@@ -26,7 +26,7 @@
 
 var (
 	large      = size{entries: 3, agents: 4, slots: 6, watchdog: longWatchdog}
-	largeCrowd = load{callers: 24, maxTasks: 4, sleep: 20 * time.Millisecond}
+	largeCrowd = load{service: service, callers: 24, maxTasks: 4, sleep: 20 * time.Millisecond}
 )
 
 // single is one kind of fault that is injected alone.
