--- a/test/faults/cancel_test.go
+++ b/test/faults/cancel_test.go
@@ -54,7 +54,7 @@
 			b.ledger.Send(jobBegun{})
 		}
 	}
-	b.each(len(jobs), func(i int) { b.put(jobs[i]) })
+	b.each(len(jobs), func(i int) { b.put(jobs[i], waveSleep) })
 	return jobs
 }
 
@@ -96,10 +96,10 @@
 }
 
 // put brings the one task of a job and does not wait for its end.
-func (b *bench) put(job *submission) {
+func (b *bench) put(job *submission, sleep time.Duration) {
 	body, err := json.Marshal(api.JobRequest{
 		Service: longService,
-		Tasks:   []api.TaskRequest{{Kind: kind, Payload: newTask(job.echoes[0], waveSleep).Payload}},
+		Tasks:   []api.TaskRequest{{Kind: kind, Payload: newTask(job.echoes[0], sleep).Payload}},
 	})
 	if err != nil {
 		panic(err)
--- a/test/faults/drain_test.go
+++ b/test/faults/drain_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	"cactuspost.example/cactuspost"
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/httpclient"
+	"cactuspost.example/test/cluster"
 )
 
 // leaveTime is after how long a leaving endpoint receives nothing new.
@@ -89,3 +93,51 @@
 	b.is.Equal(f.CutOff, 0)
 	b.is.Equal(f.Failed, f.NotRun)
 }
+
+// TestStoppedEntryWithoutWaitingCallers stops an entry while its jobs wait and
+// run, and no request of their callers is in progress. It stays until each
+// caller has come back for its answer.
+func TestStoppedEntryWithoutWaitingCallers(t *testing.T) {
+	b := startBench(t, oneSlot)
+	client := b.newClient(0)
+	tickets, err := client.NewTickets(b.ctx, longService, 8)
+	b.is.NoErr(err)
+	var jobs []*submission
+	for i, ticket := range tickets {
+		job := &submission{id: ticket.ID, echoes: []string{fmt.Sprintf("left-alone-%d", i)}}
+		jobs = append(jobs, job)
+		b.ledger.Send(jobBegun{})
+		b.put(job, pointSleep)
+	}
+	b.Entries[0].Terminate()
+	b.injected("entry stopped", 1)
+	for _, job := range jobs {
+		b.collect(job)
+	}
+	b.awaitEnd(b.Entries[0].Ended())
+	f := b.finish()
+	b.is.Equal(f.Failed, 0)
+}
+
+// collect asks for a job's state until it has ended, without waiting at the
+// entry.
+func (b *bench) collect(job *submission) {
+	b.t.Helper()
+	var answer *api.JobAnswer
+	b.until("the job ends", func() bool {
+		response, err := b.http.Exchange(b.ctx, httpclient.Request{
+			Method: http.MethodGet, URL: b.Entries[0].URL() + api.JobPath + job.id, Token: cluster.CallerToken,
+			Accept: api.JSONType, Timeout: operatorTimeout,
+		})
+		if err != nil || response.Status != http.StatusOK {
+			return false
+		}
+		answer, err = api.DecodeAnswer(response.Body)
+		return err == nil && answer.Ended()
+	})
+	e := ending{job: job, results: answer.Results}
+	if answer.Failure != nil {
+		e.failure = answer.Failure.Failure()
+	}
+	b.ledger.Send(&jobEnded{ending: e})
+}
