--- a/internal/agent/protocol_test.go
+++ b/internal/agent/protocol_test.go
@@ -559,7 +559,7 @@
 				}
 			}
 		}
-		for range count {
+		for range 4 * count {
 			w.settle(3)
 			for _, a := range w.agents {
 				w.finishAll(a)
