--- a/internal/measure/crest.go
+++ b/internal/measure/crest.go
@@ -38,7 +38,7 @@
 
 // crestFigures are the figures of one row.
 type crestFigures struct {
-	useful, late, lateJobs, refused, untrue, refusalP99, noRetry, recovery, shares figure
+	useful, late, refused, untrue, refusalP99, noRetry, recovery, shares figure
 }
 
 // Crest measures a wave of three times the capacity.
