--- a/test/faults/drain_test.go
+++ b/test/faults/drain_test.go
@@ -37,6 +37,7 @@
 		b.is.NoErr(a.Start())
 		slowest = max(slowest, b.awaitRate())
 	}
+	b.report.planned, b.report.late = true, late
 	f := b.finish()
 	t.Logf("started late=%d slowest recovery %v", late, slowest)
 	b.is.Equal(late, uint64(0))
@@ -88,6 +89,7 @@
 		slowest = max(slowest, b.awaitRate())
 		b.awaitEntry(i)
 	}
+	b.report.planned = true
 	f := b.finish()
 	t.Logf("cut off=%d slowest recovery %v %q", f.CutOff, slowest, f.Cuts)
 	b.is.Equal(f.CutOff, 0)
@@ -115,6 +117,7 @@
 		b.collect(job)
 	}
 	b.awaitEnd(b.Entries[0].Ended())
+	b.report.planned = true
 	f := b.finish()
 	b.is.Equal(f.Failed, 0)
 }
--- a/test/faults/long_test.go
+++ b/test/faults/long_test.go
@@ -129,6 +129,7 @@
 			b.awaitEntry(i)
 		}
 	}
+	b.report.planned, b.report.late = true, late
 	f := b.finish()
 	t.Logf("cut off=%d %q started late=%d slowest recovery=%v", f.CutOff, f.Cuts, late, slowest)
 	b.is.Equal(late, uint64(0))
--- a/test/faults/operators_test.go
+++ b/test/faults/operators_test.go
@@ -60,6 +60,7 @@
 	b.is.Equal(watch.stop(), 0) // revisions that went back
 	b.injected("answers lost after the effect, with cut links", b.lost(len(all)))
 	b.checkDocument(all)
+	b.report.accepted, b.report.slowest = len(all), slowest
 	f := b.finish()
 	t.Logf("accepted=%d reverted=0 slowest in force everywhere=%v", len(all), slowest)
 	b.is.Equal(f.Failed, 0)
--- a/test/faults/points_test.go
+++ b/test/faults/points_test.go
@@ -143,5 +143,6 @@
 		b.is.NoErr(b.Entries[0].Start())
 		b.awaitEntry(0)
 	}
+	b.report.planned = true
 	b.is.Equal(b.finish().Failed, 0)
 }
