--- /dev/null
+++ b/test/faults/requests_test.go
@@ -0,0 +1,78 @@
+package faults
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/httpclient"
+	"cactuspost.example/test/cluster"
+)
+
+// requestWait is how long one request waits for its job's end.
+const requestWait = lifetime
+
+// requestCount counts requests that were sent to a ready entry. A request is cut
+// when it gets no whole answer, or one that leaves the job's end open.
+type requestCount struct{ sent, cut int }
+
+// startRequests sends requests to each entry itself, without the library and
+// its retries, as a balancer would: only while the entry says that it is ready.
+// The counts come when the load is told to stop.
+func (b *bench) startRequests() <-chan requestCount {
+	counts := make(chan requestCount, len(b.Entries))
+	for _, e := range b.Entries {
+		go func() { counts <- b.request("http://" + e.HTTPAddress) }()
+	}
+	return counts
+}
+
+func (b *bench) request(url string) requestCount {
+	var count requestCount
+	for b.ctx.Err() == nil {
+		select {
+		case <-b.stop:
+			return count
+		default:
+		}
+		response, err := b.exchange(http.MethodGet, url+api.ReadyPath, nil)
+		if err != nil || response.Status != http.StatusOK {
+			pause(b.ctx, lookAgain)
+			continue
+		}
+		count.sent++
+		if !b.answered(url, fmt.Sprintf("request-%s-%d", url, count.sent)) {
+			count.cut++
+		}
+	}
+	return count
+}
+
+// answered submits a job in one request and reports whether that was answered
+// with all its results or with a refusal that says not run.
+func (b *bench) answered(url, echo string) bool {
+	payload := newTask(echo, crowd.sleep).Payload
+	body, err := json.Marshal(api.JobRequest{Service: service, Tasks: []api.TaskRequest{{Kind: kind, Payload: payload}}})
+	if err != nil {
+		panic(err)
+	}
+	response, err := b.exchange(http.MethodPost, url+api.SubmitPath+"?"+api.WaitParameter+"="+api.FormatWait(requestWait), body)
+	if err != nil {
+		return false
+	}
+	if response.Status != http.StatusOK {
+		return api.DecodeFailure(response.Status, response.Body, "").Run == failure.NotRun
+	}
+	answer, err := api.DecodeAnswer(response.Body)
+	return err == nil && answer.Complete() && len(answer.Results) == 1 && string(answer.Results[0]) == echo
+}
+
+func (b *bench) exchange(method, url string, body []byte) (*httpclient.Response, error) {
+	return b.http.Exchange(b.ctx, httpclient.Request{
+		Method: method, URL: url, Token: cluster.CallerToken, Accept: api.JSONType,
+		ContentType: api.JSONType, Body: body, Timeout: requestWait + 2*time.Second,
+	})
+}
