--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -44,6 +44,8 @@
 	b := &bench{loop: &loop{}, deployment: d, seed: seed, messages: &messages{}}
 	t := &trial{name: c.name, deployment: d, jobs: cloneJobs(jobs), messages: b.messages}
 	p := c.build(b)
+	// The messages that set the links up are not part of the figures.
+	b.at(settleTime, func() { *b.messages = messages{} })
 	for _, j := range t.jobs {
 		j.at += settleTime
 		b.at(j.at, func() { p.submit(j) })
--- /dev/null
+++ b/internal/measure/targets_test.go
@@ -0,0 +1,85 @@
+package measure
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cactuspost.example/internal/structs"
+)
+
+// small is a size that takes a few seconds. The clock is virtual, so that its
+// figures are the same on every machine.
+func small() Size { return Size{Seeds: []uint64{1, 2, 3}, Length: 2 * time.Minute} }
+
+func TestResponseAndMessagesAtSeventyPercent(t *testing.T) {
+	is := is.New(t)
+	figures := compare(Rivage(), 0.70, small())
+	own := figures[chosenName]
+	is.True(own.relative[0].median() <= 1.1)
+	is.True(own.relative[1].median() <= 1.5)
+	is.True(own.wasted.median() <= 0.2)
+	for _, b := range baselines() {
+		if b.name != idealName {
+			is.True(own.quantiles[0].median() <= figures[b.name].quantiles[0].median()) // p50 better than a baseline's
+			is.True(own.quantiles[2].median() <= figures[b.name].quantiles[2].median()) // p99 better than a baseline's
+		}
+	}
+}
+
+func TestRunsAreRepeatable(t *testing.T) {
+	is := is.New(t)
+	size := Size{Seeds: []uint64{4}, Length: 10 * time.Second}
+	is.Equal(compare(Rivage(), 0.95, size), compare(Rivage(), 0.95, size))
+}
+
+func TestCrest(t *testing.T) {
+	is := is.New(t)
+	d := Rivage()
+	names, teams := crestTeams()
+	s := usualSetup()
+	s.teams = teams
+	s.service.StartObjective = structs.Millis(crestObjective.Milliseconds())
+	f := &crestFigures{}
+	for _, seed := range small().Seeds {
+		jobs := newSource(seed, &d, usualKinds()).draw(&d, names, []phase{{crestBefore, calmLoad}, {crestLength, crestLoad}, {crestAfter, calmLoad}})
+		f.take(try(contender{chosenName, chosen(s)}, d, seed, jobs, nil), teams)
+	}
+	is.True(f.useful.median() >= 95)
+	is.True(f.recovery.median() <= 2)
+	is.Equal(f.late.median(), 0.0)
+	for i := range f.untrue {
+		is.Equal(f.untrue[i], 0.0)
+		is.Equal(f.noRetry[i], 0.0)
+	}
+}
+
+func TestWrongDeclaredTimesChangeNothing(t *testing.T) {
+	is := is.New(t)
+	size := Size{Seeds: []uint64{1}}
+	c := contender{chosenName, chosen(usualSetup("counter", "records"))}
+	right := blockingOf(Rivage(), blockingCases()[0], declarations()[0], c, size)
+	for _, wrong := range declarations()[1:] {
+		is.Equal(blockingOf(Rivage(), blockingCases()[0], wrong, c, size), right)
+	}
+}
+
+func TestShortBehindLong(t *testing.T) {
+	is := is.New(t)
+	c := contender{chosenName, chosen(usualSetup("counter", "records"))}
+	f := blockingOf(Rivage(), blockingCases()[0], declarations()[0], c, Size{Seeds: []uint64{1}})
+	is.True(f.ratio.median() <= 1.5)
+	is.True(f.loss.median() <= 10)
+}
+
+func TestNoTaskStartsTwiceUnderFaults(t *testing.T) {
+	is := is.New(t)
+	for _, k := range faults() {
+		f := &faultFigures{}
+		f.run(Rivage(), 1, k)
+		is.Equal(f.twice.median(), 0.0)
+		is.Equal(f.leaving.median(), 0.0)
+		is.True(f.after.median() <= 1)
+	}
+}
