--- a/internal/agent/slot.go
+++ b/internal/agent/slot.go
@@ -109,10 +109,6 @@
 // entries hold unused are taken back for it.
 func (c *Core) takeDemand(l *link, d *structs.Demand) {
 	l.demand = *d
-	if l.entryLeaving {
-		l.demand = structs.Demand{}
-		return
-	}
 	need := int(l.wanted()) - c.count(slotStates.Free) - int(l.credits.Total())
 	for _, s := range c.slots {
 		if need <= 0 {
@@ -233,7 +229,7 @@
 		return best
 	}
 	own := s.link
-	if own.takesCredits() && own.wants(reserved) && best.demand.HeadAge < patience(own.demand.HeadAge) {
+	if own.state == linkStates.Up && own.wants(reserved) && best.demand.HeadAge < patience(own.demand.HeadAge) {
 		return own
 	}
 	return best
@@ -252,7 +248,7 @@
 func (c *Core) longestWaiting(reserved bool) *link {
 	var best *link
 	for _, l := range c.links {
-		if !l.takesCredits() || !l.wants(reserved) {
+		if l.state != linkStates.Up || !l.wants(reserved) {
 			continue
 		}
 		if best == nil || l.demand.HeadAge > best.demand.HeadAge {
@@ -270,6 +266,8 @@
 	return l.wanted() > l.credits.Any+min(l.credits.Short, l.demand.Short)
 }
 
+// takesCredits reports whether the entry gets credits that it has not asked
+// for.
 func (l *link) takesCredits() bool { return l.state == linkStates.Up && !l.entryLeaving }
 
 func (l *link) consumeDemand(reserved bool) {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"cactuspost.example/internal/burn"
 	"cactuspost.example/internal/chart"
 	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
@@ -56,6 +57,7 @@
 
 	waitingBytes int
 	stats        Stats
+	ledger       *burn.Ledger
 	effects      []Effect
 	lastScan     time.Time
 }
@@ -75,6 +77,7 @@
 		closing:  map[LinkID]bool{},
 		retired:  map[string]structs.Service{},
 		kinds:    map[kindKey]*kind{},
+		ledger:   burn.NewLedger(),
 	}
 }
 
@@ -106,6 +109,8 @@
 		drainChart.Fire(&c.drain, drainEvents.Stop, c)
 	case *Inspect:
 		c.emit(&Inspected{Reply: m.Reply, View: c.view()})
+	case *Account:
+		c.emit(&Accounted{Reply: m.Reply, Accounts: c.accounts(m.After)})
 	}
 }
 
@@ -133,9 +138,7 @@
 	for _, p := range c.ordered {
 		c.grantWaiting(p)
 		c.requestCredits(p)
-		for _, s := range p.sessions {
-			c.flushSession(s)
-		}
+		c.flushPool(p)
 	}
 	if c.openJobs == 0 && c.undelivered == 0 {
 		drainChart.Fire(&c.drain, drainEvents.Idle, c)
@@ -203,7 +206,8 @@
 
 func (c *Core) leaving() bool { return c.drain != drainChart.Initial() }
 
-// announceDrain tells the agents that no more grants will come.
+// announceDrain tells the agents to keep their unused credits for others. What
+// waits here is asked for by demand.
 func (c *Core) announceDrain() {
 	for _, s := range c.links {
 		s.message().Leaving = true
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -26,6 +26,8 @@
 	failure   *failure.Failure
 	waiters   []ReplyID
 	delivered bool
+	// late says that a task started after the service's objective.
+	late bool
 }
 
 // untouched reports whether no task of the job may have started.
@@ -58,6 +60,7 @@
 	service, f := c.checkCreate(m)
 	if f != nil {
 		c.stats.JobsRefused++
+		c.accountCreateRefused(m, f)
 		c.refuse(m.Reply, f)
 		return
 	}
@@ -234,10 +237,14 @@
 	}
 }
 
-func (c *Core) complete(j *job) { c.stats.JobsComplete++ }
+func (c *Core) complete(j *job) {
+	c.stats.JobsComplete++
+	c.accountComplete(j)
+}
 
 func (c *Core) fail(j *job, f *failure.Failure) {
 	c.stats.JobsFailed++
+	c.accountFailure(j, f)
 	j.failure = f
 }
 
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -9,6 +9,7 @@
 package dispatch
 
 import (
+	"cactuspost.example/internal/burn"
 	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
 	"cactuspost.example/internal/structs"
@@ -82,6 +83,14 @@
 // Inspect asks for the state for operators. The effect is Inspected.
 type Inspect struct{ Reply ReplyID }
 
+// Account asks for a page of the accounts of service levels. The effect is
+// Accounted.
+type Account struct {
+	Reply ReplyID
+	// After is the last key of the page before; the zero key begins.
+	After burn.Key
+}
+
 func (*CreateJobs) isMessage()   {}
 func (*SubmitJob) isMessage()    {}
 func (*AwaitJob) isMessage()     {}
@@ -93,6 +102,7 @@
 func (*SetPeers) isMessage()     {}
 func (*Stop) isMessage()         {}
 func (*Inspect) isMessage()      {}
+func (*Account) isMessage()      {}
 
 // Effect is an output of Core.
 type Effect interface{ isEffect() }
@@ -141,6 +151,12 @@
 	View  View
 }
 
+// Accounted answers Account.
+type Accounted struct {
+	Reply    ReplyID
+	Accounts Accounts
+}
+
 func (*Created) isEffect()   {}
 func (*Answered) isEffect()  {}
 func (*Refused) isEffect()   {}
@@ -149,6 +165,7 @@
 func (*Happened) isEffect()  {}
 func (*Drained) isEffect()   {}
 func (*Inspected) isEffect() {}
+func (*Accounted) isEffect() {}
 
 // View is a copy of the core's state for operators.
 type View struct {
@@ -162,6 +179,18 @@
 	Stats     Stats
 }
 
+// Accounts is a copy of what the core knows of service levels.
+type Accounts struct {
+	Entry    structs.Peer
+	Revision uint64
+	// Objectives are those of the configuration in force, by service.
+	Objectives map[string]burn.Objective
+	Snapshot   burn.Snapshot
+	// More says that Snapshot is a page that another one follows.
+	More  bool
+	Stats Stats
+}
+
 // EndpointView is what an entry knows of one endpoint.
 type EndpointView struct {
 	Endpoint   string              `json:"endpoint"`
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -12,7 +12,9 @@
 type pool struct {
 	name     string
 	sessions []*session
-	lanes    map[laneKey]*lane
+	// unsent lists the sessions with a message that waits to be sent.
+	unsent []*session
+	lanes  map[laneKey]*lane
 	// ordered holds the lanes in the order of their creation, so that choices
 	// among equals are repeatable.
 	ordered []*lane
@@ -21,6 +23,8 @@
 	virtual float64
 	waiting int
 	running int
+	// longRunning counts the running tasks of long kinds.
+	longRunning int
 	// failures is the smoothed share of failed tasks over all workers.
 	failures float64
 }
@@ -138,6 +142,25 @@
 	return nil
 }
 
+// jobsWaitingSince returns the jobs with a task that was queued before the
+// given time. The lane is in the order of these times, but for the few tasks
+// that came back from a refusal or another lane.
+func (l *lane) jobsWaitingSince(limit time.Time) []*job {
+	var jobs []*job
+	for _, t := range l.tasks[l.head:] {
+		if t == nil || !t.queued {
+			continue
+		}
+		if !t.queuedAt.Before(limit) {
+			break
+		}
+		if len(jobs) == 0 || jobs[len(jobs)-1] != t.job {
+			jobs = append(jobs, t.job)
+		}
+	}
+	return jobs
+}
+
 // pop removes the task that first returned.
 func (l *lane) pop() {
 	t := l.tasks[l.head]
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -23,7 +23,9 @@
 	pool       *pool
 	state      chart.State
 	// link is zero while the agent isn't connected.
-	link     LinkID
+	link LinkID
+	// released says that a leaving agent was told that it may go.
+	released bool
 	graceEnd time.Time
 	revision uint64
 	// ended lists earlier incarnations of the agent; their hellos are refused.
@@ -63,6 +65,7 @@
 func (s *session) message() *structs.FromEntry {
 	if s.out == nil {
 		s.out = &structs.FromEntry{}
+		s.pool.unsent = append(s.pool.unsent, s)
 	}
 	return s.out
 }
@@ -98,6 +101,7 @@
 		c.fireSession(s, sessionEvents.Left, nil)
 		c.happened(event.AgentLeft, s.endpoint, "")
 	}
+	s.release()
 }
 
 // openLink handles the first message of a link, which has to be a hello.
@@ -196,6 +200,7 @@
 	c.closeLink(s.link)
 	s.link = 0
 	s.out = nil
+	s.released = false
 	s.demanded = structs.Demand{}
 }
 
@@ -212,7 +217,9 @@
 		return
 	}
 	c.fireSession(s, sessionEvents.LinkLost, nil)
-	c.happened(event.AgentLost, s.endpoint, "")
+	if !c.leaving() {
+		c.happened(event.AgentLost, s.endpoint, "")
+	}
 }
 
 func (c *Core) fireSession(s *session, e chart.Event, hello *structs.Hello) {
@@ -291,6 +298,7 @@
 	t.lane.adjust(r.RunTime - t.cost)
 	switch r.Outcome {
 	case structs.Succeeded:
+		c.accountResult(s, t, r)
 		s.learnSlowness(t.kind, r.RunTime)
 		t.kind.observe(r.RunTime)
 		c.fireHealth(s, healthEvents.Succeeded)
@@ -355,10 +363,38 @@
 	}
 }
 
+// release tells a leaving agent that it may go: the entry holds no grant there.
+// Until then the agent stays, since a grant may be on the way to it.
+func (s *session) release() {
+	if s.state != sessionStates.Leaving || s.link == 0 || s.released || len(s.granted) > 0 {
+		return
+	}
+	s.released = true
+	s.message().Released = true
+}
+
+// flushPool emits the collected messages. Only the sessions that have one are
+// looked at: there may be hundreds, and a batch concerns a few.
+func (c *Core) flushPool(p *pool) {
+	kept := p.unsent[:0]
+	for _, s := range p.unsent {
+		c.flushSession(s)
+		if s.out != nil {
+			kept = append(kept, s)
+		}
+	}
+	clear(p.unsent[len(kept):])
+	p.unsent = kept
+}
+
 // flushSession emits the collected message. A message of acknowledgements
 // alone waits for others to travel with.
 func (c *Core) flushSession(s *session) {
-	if s.out == nil || s.link == 0 {
+	if s.out == nil {
+		return
+	}
+	if s.link == 0 {
+		s.out = nil
 		return
 	}
 	if onlyAcks(s.out) && c.acksMayWait(s) {
@@ -380,5 +416,5 @@
 
 func onlyAcks(m *structs.FromEntry) bool {
 	return m.Welcome == nil && m.Config == nil && m.Peers == nil && m.Demand == nil &&
-		len(m.Grants) == 0 && len(m.Cancels) == 0 && !m.Leaving && !m.Heartbeat
+		len(m.Grants) == 0 && len(m.Cancels) == 0 && !m.Leaving && !m.Released && !m.Heartbeat
 }
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -145,6 +145,9 @@
 	if p.platform != nil && config.Notes == nil {
 		config.Notes = (&notes{inbox: p.platform.notes, store: config.Store, cluster: cluster, log: config.Log}).serve
 	}
+	if config.Report == nil {
+		config.Report = cluster.report
+	}
 	p.front = newFront(frontOptions{
 		limits:      config.Limits,
 		credentials: newCredentials(config.Callers, config.Operators),
@@ -152,15 +155,15 @@
 		pprof:       config.Pprof,
 		notes:       config.Notes,
 		report:      config.Report,
-	}, bound.http, jobs, cluster, config.Log)
+	}, bound.http, jobs, cluster, p.links, config.Log)
 	p.peerServer = &http.Server{
 		Handler:           peer.NewHandler(self.Incarnation, jobs),
 		ReadHeaderTimeout: peerHeaderTimeout,
 	}
 	d.shutdown = newShutdown(ctx, p, config)
-	coreActor := newCoreActor(config.NewCore(self, config.Seed), config.Log, p.drained)
+	coreActor := newCoreActor(config.NewCore(self, config.Seed), p.core, config.Log, p.drained)
 	peersActor := &peersActor{ctx: ctx, self: self.Incarnation, asker: p.peerClient, log: config.Log, inbox: p.peers}
-	go actor.Run(ctx, p.core, tickPeriod, coreActor)
+	go actor.Run(ctx, p.core, idlePeriod, coreActor)
 	go actor.Run(ctx, p.peers, peersPeriod, peersActor)
 	go p.front.serve()
 	go d.servePeers(bound.peer, config)
@@ -209,6 +212,9 @@
 	d.parts.peers.Send(&setPeers{peers: peers})
 }
 
+// setFormer replaces the list of entries that later ones have replaced.
+func (d *Daemon) setFormer(peers []structs.Peer) { d.parts.peers.Send(&setFormer{peers: peers}) }
+
 // Stop begins the planned stop: the entry is no longer ready, then refuses new
 // submissions, finishes its open jobs and answers every request in progress. It
 // returns at once; asking again changes nothing.
--- a/internal/entryd/front.go
+++ b/internal/entryd/front.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -39,6 +40,8 @@
 	Body     []byte
 	// Text asks for an answer in text for a person; else it is JSON.
 	Text bool
+	// HTML asks for a page; only the report has one.
+	HTML bool
 }
 
 // Hook serves an operators' path that other parts of the daemon fill in. It
@@ -62,6 +65,7 @@
 	jobs     *jobs
 	calls    *calls
 	cluster  *cluster
+	links    *linkServer
 	log      *logging.Logger
 	routes   []route
 	metrics  *metrics.Set
@@ -72,12 +76,13 @@
 	leaving chan struct{}
 }
 
-func newFront(options frontOptions, listener net.Listener, jobs *jobs, cluster *cluster, log *logging.Logger) *front {
+func newFront(options frontOptions, listener net.Listener, jobs *jobs, cluster *cluster, links *linkServer, log *logging.Logger) *front {
 	f := &front{
 		options:  options,
 		jobs:     jobs,
 		calls:    cluster.calls,
 		cluster:  cluster,
+		links:    links,
 		log:      log,
 		metrics:  metrics.NewSet(),
 		listener: lingerListener{listener},
@@ -127,26 +132,38 @@
 // handle answers one request.
 func (f *front) handle(ctx *fasthttp.RequestCtx) {
 	began := time.Now()
-	name := f.dispatch(ctx)
+	name := f.dispatchSafely(ctx)
 	f.closeIfLeaving(ctx)
 	f.count(name, ctx.Response.StatusCode(), time.Since(began))
 }
 
+// dispatchSafely keeps a fault in one request from ending the jobs of all.
+func (f *front) dispatchSafely(ctx *fasthttp.RequestCtx) (name string) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			name = unmatched
+			f.log.Event(event.RequestFault, zap.Any("fault", fault), zap.Stack("stack"))
+			f.refuse(ctx, failure.New(failure.Internal, failure.Unknown, "a fault of the entry"))
+		}
+	}()
+	return f.dispatch(ctx)
+}
+
 func (f *front) dispatch(ctx *fasthttp.RequestCtx) string {
 	if int(f.server.GetOpenConnectionsCount()) > f.options.limits.MaxConnections {
 		f.log.Event(event.ConnectionsAtLimit)
 		ctx.SetConnectionClose()
-		f.refuse(ctx, failure.New(failure.TooLarge, failure.NotRun, "too many connections").WithRetry(retryWhenFull))
+		f.refuseUnseen(ctx, failure.New(failure.TooLarge, failure.NotRun, "too many connections").WithRetry(retryWhenFull))
 		return unmatched
 	}
 	r, refusal := f.find(ctx)
 	if refusal != nil {
-		f.refuse(ctx, refusal)
+		f.refuseUnseen(ctx, refusal)
 		return unmatched
 	}
 	who, refusal := f.admit(ctx, r.access)
 	if refusal != nil {
-		f.refuse(ctx, refusal)
+		f.refuseUnseen(ctx, refusal)
 		return r.name
 	}
 	r.serve(ctx, who)
@@ -182,6 +199,23 @@
 	f.write(ctx, status, body)
 }
 
+// refuseUnseen refuses a request before the dispatcher saw it. The request
+// itself started nothing, but a job that it names may have run: "not run" would
+// not be true of that.
+func (f *front) refuseUnseen(ctx *fasthttp.RequestCtx, refusal *failure.Failure) {
+	if refusal.Run == failure.NotRun && mayNameJob(ctx) {
+		refusal = failure.New(refusal.Kind, failure.Unknown, refusal.Detail).WithRetry(refusal.RetryAfter)
+	}
+	f.refuse(ctx, refusal)
+}
+
+// mayNameJob reports whether a request is about a job with an id. The path is
+// the root when it could not be read.
+func mayNameJob(ctx *fasthttp.RequestCtx) bool {
+	path := string(ctx.Path())
+	return path == "/" || strings.HasPrefix(path, api.JobPath)
+}
+
 func (f *front) write(ctx *fasthttp.RequestCtx, status int, body []byte) {
 	ctx.SetStatusCode(status)
 	ctx.SetContentType(api.JSONType)
@@ -193,7 +227,7 @@
 func (f *front) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
 	linger(ctx.Conn())
 	ctx.SetConnectionClose()
-	f.refuse(ctx, unreadFailure(err))
+	f.refuseUnseen(ctx, unreadFailure(err))
 	f.count(unmatched, ctx.Response.StatusCode(), 0)
 }
 
--- /dev/null
+++ b/internal/promela/report.go
@@ -0,0 +1,72 @@
+package promela
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+)
+
+// VerdictError reports searches that did not come out as they must.
+type VerdictError struct{ Searches []string }
+
+// Error names the searches.
+func (e *VerdictError) Error() string {
+	return "models that failed, or variants that were not caught: " + strings.Join(e.Searches, ", ")
+}
+
+// Report prints one line for each result. It returns a *VerdictError when one
+// of them is not good.
+func Report(out io.Writer, results []Result) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "search\tsizes\tstates\tdepth\tfound\tverdict")
+	var bad []string
+	for _, r := range results {
+		if !r.Good() {
+			bad = append(bad, r.Search.Name())
+		}
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%s\t%s\n",
+			r.Search.Name(), sizesText(r.Search), r.States, r.Depth, foundText(r), verdict(r))
+	}
+	if err := table.Flush(); err != nil {
+		return errors.WithStack(err)
+	}
+	if len(bad) > 0 {
+		return errors.WithStack(&VerdictError{Searches: bad})
+	}
+	return nil
+}
+
+func verdict(r Result) string {
+	if r.Good() {
+		return "ok"
+	}
+	if !r.Exhaustive && r.Violated == "" {
+		return "NOT EXHAUSTIVE"
+	}
+	return "FAILED"
+}
+
+func foundText(r Result) string {
+	if r.Violated != "" {
+		return r.Violated
+	}
+	return "no error"
+}
+
+func sizesText(s Search) string {
+	if s.Variant != nil {
+		return "as " + s.Model.Name
+	}
+	var parts []string
+	for name, value := range s.Sizes() {
+		if value != 0 {
+			parts = append(parts, fmt.Sprintf("%s=%d", strings.ToLower(name), value))
+		}
+	}
+	sort.Strings(parts)
+	return strings.Join(parts, " ")
+}
