A task that never reached its endpoint is granted again

Cause: when the endpoint accepted no connection, the agent reported the started task as lost, so the job failed with an unknown outcome although nothing had been sent; an endpoint that dies between two health checks failed every job that met it. Ruled out: retrying in the agent, which would hold the task at a dead endpoint. Now the run chart has the event unsent: the agent refuses the grant (EndpointUnreached), the entry counts it against the worker's health and grants the task elsewhere. The protocol test draws it; TestGrantThatReachedNoEndpoint... shows the credit.

--- a/internal/agent/charts.go
+++ b/internal/agent/charts.go
@@ -126,6 +126,7 @@
 var runEvents struct {
 	Decide    chart.Event `chart:"decide"`
 	Exited    chart.Event `chart:"exited"`
+	Unsent    chart.Event `chart:"unsent"`
 	Stop      chart.Event `chart:"stop"`
 	Limit     chart.Event `chart:"limit"`
 	Acked     chart.Event `chart:"acked"`
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -17,6 +17,7 @@
 	state     chart.State
 	limit     time.Duration
 	overLimit bool
+	unsent    bool
 	startedAt time.Time
 	result    structs.Result
 }
@@ -49,13 +50,19 @@
 
 func (c *Core) refuseRun(r *run) {
 	c.refused++
+	if !r.link.greeted {
+		// The next hello doesn't list the grant, which says the same.
+		return
+	}
 	m := r.link.message()
-	m.Refusals = append(m.Refusals, structs.Refusal{Grant: r.grant.ID, Reason: c.refusalReason()})
+	m.Refusals = append(m.Refusals, structs.Refusal{Grant: r.grant.ID, Reason: c.refusalReason(r)})
 	c.happened(event.GrantRefused, r.link.address, r.grant.ID, "")
 }
 
-func (c *Core) refusalReason() structs.RefusalReason {
+func (c *Core) refusalReason(r *run) structs.RefusalReason {
 	switch {
+	case r.unsent:
+		return structs.EndpointUnreached
 	case c.leaving():
 		return structs.AgentLeaving
 	case !c.endpointUp:
@@ -77,6 +84,12 @@
 	if r == nil {
 		return
 	}
+	if m.Outcome == structs.NotSent {
+		r.unsent = true
+		c.started--
+		c.fireRun(r, runEvents.Unsent)
+		return
+	}
 	r.result = structs.Result{Grant: m.Grant, Outcome: m.Outcome, Payload: m.Payload, RunTime: m.RunTime}
 	if r.overLimit && m.Outcome != structs.Succeeded {
 		r.result.Outcome = structs.LimitExceeded
--- a/internal/agentd/counters.go
+++ b/internal/agentd/counters.go
@@ -17,6 +17,7 @@
 	structs.LimitExceeded: "limit_exceeded",
 	structs.Stopped:       "stopped",
 	structs.Lost:          "lost",
+	structs.NotSent:       "not_sent",
 }
 
 // counters are the metrics of one daemon. They may be used by all its parts.
--- a/internal/agentd/exchange.go
+++ b/internal/agentd/exchange.go
@@ -255,7 +255,7 @@
 }
 
 func (e *exchange) reportUnreachable() {
-	e.reportFailure(structs.Lost, failure.Wrap(e.err, failure.EndpointLost, failure.NotRun, "no connection to the endpoint"))
+	e.reportFailure(structs.NotSent, failure.Wrap(e.err, failure.EndpointLost, failure.NotRun, "no connection to the endpoint"))
 }
 
 func (e *exchange) reportOversized() {
@@ -266,7 +266,7 @@
 
 // notSent is the end of a task that never reached an exchange.
 func notSent(id structs.GrantID, f *failure.Failure) *agent.TaskExited {
-	return &agent.TaskExited{Grant: id, Outcome: structs.Lost, Payload: []byte(f.Error())}
+	return &agent.TaskExited{Grant: id, Outcome: structs.NotSent, Payload: []byte(f.Error())}
 }
 
 func grantText(id structs.GrantID) string {
--- a/internal/agentd/runner.go
+++ b/internal/agentd/runner.go
@@ -123,7 +123,7 @@
 	switch outcome {
 	case structs.Succeeded, structs.Errored:
 		r.probe.TrySend(probeInput{answered: true})
-	case structs.Lost:
+	case structs.Lost, structs.NotSent:
 		r.probe.TrySend(probeInput{answered: false})
 	}
 }
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -318,3 +318,18 @@
 	b.Equal(len(grants), 1)
 	b.True(grants[0].Reserved)
 }
+
+func TestGrantThatReachedNoEndpointGoesElsewhere(t *testing.T) {
+	b := newConfiguredBench(t)
+	b.worker(1, 1)
+	b.submit(b.submission("a", 1))
+	first := b.grants()[0]
+	b.worker(2, 1)
+	refusal := structs.Refusal{Grant: first.ID, Reason: structs.EndpointUnreached}
+	b.step(&AgentMessage{Link: 1, Message: &structs.FromAgent{Refusals: []structs.Refusal{refusal}}})
+	again := b.grants()
+	b.Equal(len(again), 1)
+	b.Equal(b.holderOf(again[0]), LinkID(2)) // the credit of worker 1 is used up
+	b.finish(2, again[0], time.Millisecond, 1)
+	b.Equal(last[*Answered](b).Answer.State, structs.JobComplete)
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -319,13 +319,21 @@
 		if t == nil {
 			continue
 		}
-		// The agent counted no credit for a grant that it refused.
-		s.credits.add(t.reserved, 1)
-		c.fireHealth(s, healthEvents.Returned)
+		c.takeRefusal(s, t, r.Reason)
 		c.fireTask(t, taskEvents.Refused, nil, nil)
 	}
 }
 
+func (c *Core) takeRefusal(s *session, t *task, reason structs.RefusalReason) {
+	if reason == structs.EndpointUnreached {
+		c.fireHealth(s, healthEvents.Failed)
+		return
+	}
+	// The agent counted no credit for a grant that it refused on arrival.
+	s.credits.add(t.reserved, 1)
+	c.fireHealth(s, healthEvents.Returned)
+}
+
 func (c *Core) takeCredits(s *session, m *structs.FromAgent) {
 	s.idle = m.Idle
 	if s.state != sessionStates.Up {
--- a/internal/structs/job.go
+++ b/internal/structs/job.go
@@ -88,4 +88,7 @@
 	Stopped
 	// Lost means that the connection to the endpoint broke during the task.
 	Lost
+	// NotSent means that the endpoint could not be reached and nothing of the
+	// task was sent. It never leaves the agent, which refuses the grant instead.
+	NotSent
 )
--- a/internal/structs/link.go
+++ b/internal/structs/link.go
@@ -81,6 +81,9 @@
 	BufferFull
 	// EndpointDown means that the endpoint accepts no connection.
 	EndpointDown
+	// EndpointUnreached means that the grant used its credit, but the endpoint
+	// could not be reached and nothing was sent to it.
+	EndpointUnreached
 )
 
 // Refusal says that a grant was not started and never will be.
--- a/spec/gen/run.pml
+++ b/spec/gen/run.pml
@@ -95,3 +95,20 @@
   :: else -> skip
   fi
 }
+
+inline run_on_unsent(self) {
+  if
+  :: run_state[self] == run_orphaned ->
+    run_do_free_slot(self);
+    run_state[self] = run_ended
+  :: run_state[self] == run_running ->
+    run_do_free_slot(self);
+    run_do_refuse(self);
+    run_state[self] = run_refused
+  :: run_state[self] == run_stopping ->
+    run_do_free_slot(self);
+    run_do_refuse(self);
+    run_state[self] = run_refused
+  :: else -> skip
+  fi
+}
