--- a/internal/agent/slot.go
+++ b/internal/agent/slot.go
@@ -278,8 +278,12 @@
 	l.demand.Short -= min(l.demand.Short, 1)
 }
 
+// keptMore is how many unused credits more than another an entry may keep
+// before a slot goes to the other. Each such slot costs a message.
+const keptMore = 2
+
 // defaultLink chooses the entry for a slot that nobody asks for: the one whose
-// task has just left it, unless it holds far more credits than another.
+// task has just left it, unless it holds more credits than another.
 func (c *Core) defaultLink(s *slot) *link {
 	var fewest *link
 	for _, l := range c.links {
@@ -290,7 +294,7 @@
 	if fewest == nil || !s.returned || !s.link.takesCredits() {
 		return fewest
 	}
-	if s.link.credits.Total() > fewest.credits.Total()+uint32(len(c.slots)/2) {
+	if s.link.credits.Total() > fewest.credits.Total()+keptMore {
 		return fewest
 	}
 	return s.link
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -211,7 +211,7 @@
 	if l.waiting == 0 || !c.overdue(l) {
 		return
 	}
-	for _, j := range l.jobsWaitingSince(c.now.Add(-c.objective(l.service))) {
+	for _, j := range l.jobsWaitingSince(c.now.Add(-c.overdueAge(l.service))) {
 		c.fireJob(j, jobEvents.Shed, nil)
 	}
 }
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -47,24 +47,43 @@
 		if l.waiting == 0 || blocked[l] {
 			continue
 		}
-		if best == nil || l.before(best, c.now, c.aged) {
+		if best == nil || c.before(l, best) {
 			best = l
 		}
 	}
 	return best
 }
 
-// overdue reports whether a lane's first task has waited past its objective.
-func (c *Core) overdue(l *lane) bool {
-	return c.now.Sub(l.first().queuedAt) > c.objective(l.service)
+// before decides which of two lanes with waiting tasks is served first.
+func (c *Core) before(l, other *lane) bool {
+	if late := c.overdue(l); late != c.overdue(other) {
+		return late
+	}
+	return l.before(other, c.aged)
 }
 
-// agedShare is the part of its objective after which a long task is not passed
-// over by short ones of its team any more.
-const agedShare = 0.1
+const (
+	// overdueShare is the part of its objective after which a job that hasn't
+	// started is shed, and one that has goes before everything else: its other
+	// tasks then start about in time.
+	overdueShare = 0.9
+	// agedShare is the part of its objective after which a long task is not
+	// passed over by short ones of its team any more.
+	agedShare = 0.1
+)
+
+func (c *Core) overdue(l *lane) bool { return c.waited(l) > c.overdueAge(l.service) }
 
 func (c *Core) aged(l *lane) bool {
-	return c.now.Sub(l.first().queuedAt).Seconds() > agedShare*c.objective(l.service).Seconds()
+	return c.waited(l).Seconds() > agedShare*c.objective(l.service).Seconds()
+}
+
+// waited is the time that a lane's first task has waited.
+func (c *Core) waited(l *lane) time.Duration { return c.now.Sub(l.first().queuedAt) }
+
+// overdueAge is the wait from which a service's tasks are overdue.
+func (c *Core) overdueAge(service string) time.Duration {
+	return time.Duration(overdueShare * float64(c.objective(service)))
 }
 
 func (c *Core) objective(service string) time.Duration {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -191,8 +191,8 @@
 	l.account.virtual += difference.Seconds() / l.weight
 }
 
-// before decides which of two lanes with waiting tasks is served first.
-func (l *lane) before(other *lane, now time.Time, aged func(*lane) bool) bool {
+// before decides between two lanes by their teams' shares, then by class and age.
+func (l *lane) before(other *lane, aged func(*lane) bool) bool {
 	if l.account != other.account {
 		return l.account.virtual < other.account.virtual
 	}
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -53,7 +53,7 @@
 func (t Tuning) withDefaults() Tuning {
 	setDuration(&t.LongTask, 1500*time.Millisecond)
 	setDuration(&t.FirstEstimate, 50*time.Millisecond)
-	setDuration(&t.DemandDelay, 20*time.Millisecond)
+	setDuration(&t.DemandDelay, 10*time.Millisecond)
 	setDuration(&t.DemandSpread, 100*time.Millisecond)
 	setDuration(&t.AgentGrace, 10*time.Second)
 	setDuration(&t.Cooling, 2*time.Second)
