--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -63,9 +63,8 @@
 }
 
 const (
-	// overdueShare is the part of its objective after which a job that hasn't
-	// started is shed, and one that has goes before everything else: its other
-	// tasks then start about in time.
+	// overdueShare is the part of its objective after which a job goes before
+	// everything else, so that its tasks start in time.
 	overdueShare = 0.9
 	// agedShare is the part of its objective after which a long task is not
 	// passed over by short ones of its team any more.
