--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -45,8 +45,8 @@
 	// Averaged learns the arithmetic mean per kind, without correction.
 	Averaged
 	// Corrected starts each kind with a small estimate and only ever extends it
-	// when a task overruns, after Rubio et al., "Correcting Job Walltime in a
-	// Resource-Constrained Environment".
+	// when a task overruns: correction without prediction. It lost the trial in
+	// docs/decisions.md and is kept to repeat it.
 	Corrected
 )
 
