--- a/cmd/cactuspost-entry/main.go
+++ b/cmd/cactuspost-entry/main.go
@@ -53,7 +53,7 @@
 	}
 	loaded, err := settings.LoadEntry(raw)
 	if err != nil {
-		logging.New(os.Stderr, event.Info).Event(event.SettingsRefused, zap.Error(err))
+		logging.New(os.Stderr, event.Info).Event(event.SettingsRefused, zap.String("error", err.Error()))
 		return err
 	}
 	if check {
@@ -73,7 +73,7 @@
 	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 	daemon, err := entryd.Start(ctx, config)
 	if err != nil {
-		config.Log.Event(event.ListenFailed, zap.Error(err))
+		config.Log.Event(event.ListenFailed, zap.String("error", err.Error()))
 		return err
 	}
 	stopped := false
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -179,7 +179,7 @@
 func (d *Daemon) servePeers(listener net.Listener, config *Config) {
 	err := d.parts.peerServer.Serve(listener)
 	if err != http.ErrServerClosed {
-		config.Log.Event(event.ActorFailed, zap.String("part", "peers"), zap.Error(err))
+		config.Log.Event(event.ActorFailed, zap.String("part", "peers"), errorField(err))
 	}
 }
 
--- a/internal/entryd/fake_test.go
+++ b/internal/entryd/fake_test.go
@@ -314,6 +314,9 @@
 
 // Write takes one line of the log.
 func (w *eventWatch) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte("errorVerbose")) {
+		panic("a stack trace in the log")
+	}
 	var form struct{ Event event.ID }
 	if err := json.Unmarshal(line, &form); err != nil {
 		return 0, err
--- a/internal/entryd/front.go
+++ b/internal/entryd/front.go
@@ -113,7 +113,7 @@
 func (f *front) serve() {
 	err := f.server.Serve(f.listener)
 	if err != nil && !errors.Is(err, net.ErrClosed) {
-		f.log.Event(event.ActorFailed, zap.String("part", "http"), zap.Error(err))
+		f.log.Event(event.ActorFailed, zap.String("part", "http"), errorField(err))
 	}
 }
 
--- a/internal/entryd/link.go
+++ b/internal/entryd/link.go
@@ -258,7 +258,7 @@
 	l.log.Event(id,
 		zap.Uint64("link", uint64(l.id)),
 		zap.Stringer("address", l.conn.RemoteAddr()),
-		zap.Error(l.fault),
+		errorField(l.fault),
 	)
 }
 
@@ -266,7 +266,7 @@
 func (l *link) send(m *structs.FromEntry) {
 	frame, err := wire.AppendFromEntry(nil, m)
 	if err != nil {
-		l.log.Event(event.LinkEncodeFault, zap.Uint64("link", uint64(l.id)), zap.Error(err))
+		l.log.Event(event.LinkEncodeFault, zap.Uint64("link", uint64(l.id)), errorField(err))
 		l.dismiss()
 		return
 	}
--- a/internal/entryd/links.go
+++ b/internal/entryd/links.go
@@ -73,7 +73,7 @@
 		gnet.WithLogger(silentLogger{}),
 	)
 	if err != nil {
-		s.log.Event(event.ActorFailed, zap.String("part", "links"), zap.Error(err))
+		s.log.Event(event.ActorFailed, zap.String("part", "links"), errorField(err))
 	}
 	s.ended <- err
 }
--- a/internal/entryd/notes.go
+++ b/internal/entryd/notes.go
@@ -122,7 +122,7 @@
 	if failure.Of(err).Run == failure.Unknown {
 		id = event.NoteOutcomeUnknown
 	}
-	n.log.Event(id, zap.String("operator", r.Operator), zap.String("note", note.ID), zap.Error(err))
+	n.log.Event(id, zap.String("operator", r.Operator), zap.String("note", note.ID), errorField(err))
 }
 
 func acceptedText(a release.Accepted) string {
--- a/internal/entryd/peers.go
+++ b/internal/entryd/peers.go
@@ -144,7 +144,7 @@
 func askOwner(ctx context.Context, asker asker, log *logging.Logger, owner structs.Peer, r *peer.Request) outcome {
 	response, err := asker.Ask(ctx, owner.PeerAddress, r)
 	if err != nil {
-		log.Event(event.PeerUnreachable, zap.String("entry", owner.Name), zap.Error(err))
+		log.Event(event.PeerUnreachable, zap.String("entry", owner.Name), errorField(err))
 		return decided(r.Job, ownership.Conclude(ownership.Unreachable))
 	}
 	if response.Incarnation != r.Job.Owner {
--- a/internal/entryd/shutdown.go
+++ b/internal/entryd/shutdown.go
@@ -165,7 +165,7 @@
 func (s *shutdown) after(done chart.Event, f func() error) {
 	go func() {
 		if err := f(); err != nil {
-			s.log.Event(event.ActorFailed, zap.String("part", "shutdown"), zap.Error(err))
+			s.log.Event(event.ActorFailed, zap.String("part", "shutdown"), errorField(err))
 		}
 		s.inbox.Send(done)
 	}()
