--- /dev/null
+++ b/internal/dispatch/results.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import "cactuspost.example/internal/structs"
+
+func (c *Core) takeResults(s *session, results []structs.Result) {
+	for i := range results {
+		r := &results[i]
+		c.stats.Messages.Results++
+		c.acknowledge(s, r.Grant)
+		t := s.granted[r.Grant]
+		if t == nil {
+			continue
+		}
+		c.learn(s, t, r)
+		if r.Outcome == structs.Succeeded {
+			c.fireTask(t, taskEvents.Succeeded, nil, r)
+		} else {
+			c.fireTask(t, taskEvents.Errored, nil, r)
+		}
+	}
+}
+
+func (c *Core) acknowledge(s *session, id structs.GrantID) {
+	m := s.message()
+	if len(m.Acks) == 0 {
+		s.ackSince = c.now
+	}
+	m.Acks = append(m.Acks, id)
+}
+
+// learn corrects the team's account and what is known of kind and worker.
+func (c *Core) learn(s *session, t *task, r *structs.Result) {
+	c.forgetStartedPayload(t)
+	t.lane.adjust(r.RunTime - t.cost)
+	switch r.Outcome {
+	case structs.Succeeded:
+		c.accountResult(s, t, r)
+		s.learnSlowness(t.kind, r.RunTime)
+		t.kind.observe(r.RunTime)
+		c.fireHealth(s, healthEvents.Succeeded)
+	case structs.Errored, structs.Lost:
+		c.fireHealth(s, healthEvents.Failed)
+	default:
+		c.fireHealth(s, healthEvents.Returned)
+	}
+}
+
+// forgetStartedPayload frees the payload of a task that won't be granted again.
+func (c *Core) forgetStartedPayload(t *task) { t.payload = nil }
+
+func (c *Core) takeRefusals(s *session, refusals []structs.Refusal) {
+	for _, r := range refusals {
+		c.stats.Messages.Refusals++
+		t := s.granted[r.Grant]
+		if t == nil {
+			continue
+		}
+		c.takeRefusal(s, t, r.Reason)
+		c.fireTask(t, taskEvents.Refused, nil, nil)
+	}
+}
+
+func (c *Core) takeRefusal(s *session, t *task, reason structs.RefusalReason) {
+	if reason == structs.EndpointUnreached {
+		c.fireHealth(s, healthEvents.Failed)
+		return
+	}
+	// The agent counted no credit for a grant that it refused on arrival.
+	s.credits.add(t.reserved, 1)
+	c.fireHealth(s, healthEvents.Returned)
+}
+
+func (c *Core) takeCredits(s *session, m *structs.FromAgent) {
+	s.idle = m.Idle
+	if s.state != sessionStates.Up {
+		return
+	}
+	s.credits.any += int(m.Offered.Any) - int(m.Revoked.Any)
+	s.credits.short += int(m.Offered.Short) - int(m.Revoked.Short)
+	s.answered(m.Offered)
+}
+
+func (n *creditCount) add(reserved bool, count int) {
+	if reserved {
+		n.short += count
+	} else {
+		n.any += count
+	}
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -62,14 +62,6 @@
 // endedLimit bounds the incarnations that a session remembers as ended.
 const endedLimit = 8
 
-func (s *session) message() *structs.FromEntry {
-	if s.out == nil {
-		s.out = &structs.FromEntry{}
-		s.pool.unsent = append(s.pool.unsent, s)
-	}
-	return s.out
-}
-
 func (s *session) view() EndpointView {
 	return EndpointView{
 		Endpoint: s.endpoint, Agent: s.incarnation, Pool: s.pool.name, DataCentre: s.dataCentre,
@@ -266,92 +258,6 @@
 	}
 }
 
-func (c *Core) takeResults(s *session, results []structs.Result) {
-	for i := range results {
-		r := &results[i]
-		c.stats.Messages.Results++
-		c.acknowledge(s, r.Grant)
-		t := s.granted[r.Grant]
-		if t == nil {
-			continue
-		}
-		c.learn(s, t, r)
-		if r.Outcome == structs.Succeeded {
-			c.fireTask(t, taskEvents.Succeeded, nil, r)
-		} else {
-			c.fireTask(t, taskEvents.Errored, nil, r)
-		}
-	}
-}
-
-func (c *Core) acknowledge(s *session, id structs.GrantID) {
-	m := s.message()
-	if len(m.Acks) == 0 {
-		s.ackSince = c.now
-	}
-	m.Acks = append(m.Acks, id)
-}
-
-// learn corrects the team's account and what is known of kind and worker.
-func (c *Core) learn(s *session, t *task, r *structs.Result) {
-	c.forgetStartedPayload(t)
-	t.lane.adjust(r.RunTime - t.cost)
-	switch r.Outcome {
-	case structs.Succeeded:
-		c.accountResult(s, t, r)
-		s.learnSlowness(t.kind, r.RunTime)
-		t.kind.observe(r.RunTime)
-		c.fireHealth(s, healthEvents.Succeeded)
-	case structs.Errored, structs.Lost:
-		c.fireHealth(s, healthEvents.Failed)
-	default:
-		c.fireHealth(s, healthEvents.Returned)
-	}
-}
-
-// forgetStartedPayload frees the payload of a task that won't be granted again.
-func (c *Core) forgetStartedPayload(t *task) { t.payload = nil }
-
-func (c *Core) takeRefusals(s *session, refusals []structs.Refusal) {
-	for _, r := range refusals {
-		c.stats.Messages.Refusals++
-		t := s.granted[r.Grant]
-		if t == nil {
-			continue
-		}
-		c.takeRefusal(s, t, r.Reason)
-		c.fireTask(t, taskEvents.Refused, nil, nil)
-	}
-}
-
-func (c *Core) takeRefusal(s *session, t *task, reason structs.RefusalReason) {
-	if reason == structs.EndpointUnreached {
-		c.fireHealth(s, healthEvents.Failed)
-		return
-	}
-	// The agent counted no credit for a grant that it refused on arrival.
-	s.credits.add(t.reserved, 1)
-	c.fireHealth(s, healthEvents.Returned)
-}
-
-func (c *Core) takeCredits(s *session, m *structs.FromAgent) {
-	s.idle = m.Idle
-	if s.state != sessionStates.Up {
-		return
-	}
-	s.credits.any += int(m.Offered.Any) - int(m.Revoked.Any)
-	s.credits.short += int(m.Offered.Short) - int(m.Revoked.Short)
-	s.answered(m.Offered)
-}
-
-func (n *creditCount) add(reserved bool, count int) {
-	if reserved {
-		n.short += count
-	} else {
-		n.any += count
-	}
-}
-
 // scanSession ends grace and cooling periods and corrects the estimates of
 // kinds whose tasks run longer than foretold.
 func (c *Core) scanSession(s *session) {
@@ -370,59 +276,3 @@
 		}
 	}
 }
-
-// release tells a leaving agent that it may go: the entry holds no grant there.
-// Until then the agent stays, since a grant may be on the way to it.
-func (s *session) release() {
-	if s.state != sessionStates.Leaving || s.link == 0 || s.released || len(s.granted) > 0 {
-		return
-	}
-	s.released = true
-	s.message().Released = true
-}
-
-// flushPool emits the collected messages. Only the sessions that have one are
-// looked at: there may be hundreds, and a batch concerns a few.
-func (c *Core) flushPool(p *pool) {
-	kept := p.unsent[:0]
-	for _, s := range p.unsent {
-		c.flushSession(s)
-		if s.out != nil {
-			kept = append(kept, s)
-		}
-	}
-	clear(p.unsent[len(kept):])
-	p.unsent = kept
-}
-
-// flushSession emits the collected message. A message of acknowledgements
-// alone waits for others to travel with.
-func (c *Core) flushSession(s *session) {
-	if s.out == nil {
-		return
-	}
-	if s.link == 0 {
-		s.out = nil
-		return
-	}
-	if onlyAcks(s.out) && c.acksMayWait(s) {
-		return
-	}
-	c.countSent(s.out)
-	c.emit(&Send{Link: s.link, Message: s.out})
-	s.out = nil
-}
-
-// acksMayWait reports whether acknowledgements can wait for other messages. A
-// leaving agent ends when it has them all.
-func (c *Core) acksMayWait(s *session) bool {
-	return s.state == sessionStates.Up && c.now.Sub(s.ackSince) < c.tuning.AckDelay && len(s.out.Acks) < maxAcks
-}
-
-// maxAcks bounds the acknowledgements that wait for company.
-const maxAcks = 64
-
-func onlyAcks(m *structs.FromEntry) bool {
-	return m.Welcome == nil && m.Config == nil && m.Peers == nil && m.Demand == nil &&
-		len(m.Grants) == 0 && len(m.Cancels) == 0 && !m.Leaving && !m.Released && !m.Heartbeat
-}
