--- a/internal/agentd/path_test.go
+++ b/internal/agentd/path_test.go
@@ -72,6 +72,7 @@
 	second.send(&structs.FromEntry{Acks: []structs.GrantID{g.ID}})
 	d.Stop()
 	second.await(func(m *structs.FromAgent) bool { return m.Leaving })
+	second.send(&structs.FromEntry{Released: true})
 	is.NoErr(d.Wait())
 	is.Equal(endpoint.Starts(), map[string]int{"kept": 1})
 }
@@ -98,7 +99,7 @@
 		t.Fatal("ended before the result was acknowledged")
 	default:
 	}
-	e.send(&structs.FromEntry{Acks: []structs.GrantID{result.Grant}})
+	e.send(&structs.FromEntry{Acks: []structs.GrantID{result.Grant}, Released: true})
 	is.NoErr(d.Wait())
 	is.Equal(endpoint.Starts(), map[string]int{"whole": 1})
 }
