--- a/cmd/cactuspost-entry/main.go
+++ b/cmd/cactuspost-entry/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"fmt"
 	"os"
 	"os/signal"
@@ -60,7 +59,7 @@
 		fmt.Println("the settings are valid")
 		return nil
 	}
-	config, err := configOf(loaded)
+	config, err := configOf(ctx, loaded)
 	if err != nil {
 		return err
 	}
@@ -91,8 +90,8 @@
 	}
 }
 
-func configOf(s *settings.Entry) (entryd.Config, error) {
-	certificate, err := loadTLS(s.TLS)
+func configOf(ctx context.Context, s *settings.Entry) (entryd.Config, error) {
+	certificate, err := entryd.LoadTLS(ctx, s.TLS)
 	if err != nil {
 		return entryd.Config{}, err
 	}
@@ -103,14 +102,3 @@
 	config.Log = logging.New(os.Stderr, s.LogLevel).With(zap.String("daemon", s.Name))
 	return config, nil
 }
-
-func loadTLS(files *settings.TLS) (*tls.Config, error) {
-	if files == nil {
-		return nil, nil
-	}
-	pair, err := tls.LoadX509KeyPair(files.CertFile, files.KeyFile)
-	if err != nil {
-		return nil, failure.Wrap(err, failure.Invalid, failure.NotRun, "load the certificate")
-	}
-	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}, nil
-}
--- a/cmd/cactuspost-entry/main_test.go
+++ b/cmd/cactuspost-entry/main_test.go
@@ -34,12 +34,12 @@
 	is.NoErr(err)
 	loaded, err := settings.LoadEntry(raw)
 	is.NoErr(err)
-	config, err := configOf(loaded)
+	config, err := configOf(t.Context(), loaded)
 	is.NoErr(err)
 	is.Equal(config.Self.LinkAddress, loaded.Advertise.Link)
 	is.Equal(config.Limits, loaded.Limits)
 	is.True(config.Store != nil && config.Settle > 0 && config.TLS == nil)
 	loaded.TLS = &settings.TLS{CertFile: sample, KeyFile: sample}
-	_, err = configOf(loaded)
+	_, err = configOf(t.Context(), loaded)
 	is.True(err != nil)
 }
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -76,7 +76,7 @@
 	linksInbox := newLinksInbox()
 	runnerInbox := newRunnerInbox(c.Slots)
 	probeInbox := actor.NewInbox[probeInput](probeInboxSize)
-	server, err := newHTTPServer(c.HTTPAddress, coreInbox, counters)
+	server, err := newHTTPServer(c.Agent, coreInbox, counters)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/agentd/http.go
+++ b/internal/agentd/http.go
@@ -10,7 +10,10 @@
 
 	"cactuspost.example/internal/actor"
 	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/api/operator"
 	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/settings"
 )
 
 // The operators' interface.
@@ -44,16 +47,19 @@
 	server   *fasthttp.Server
 	core     *actor.Inbox[coreInput]
 	counters *counters
+	// operators may ask for the planned stop; without any, everybody may.
+	operators []settings.Operator
+	endpoint  string
 }
 
 // newHTTPServer opens the address. It returns a failure of kind Unavailable if
 // that can't be done.
-func newHTTPServer(address string, core *actor.Inbox[coreInput], counters *counters) (*httpServer, error) {
-	listener, err := net.Listen("tcp", address)
+func newHTTPServer(agent settings.Agent, core *actor.Inbox[coreInput], counters *counters) (*httpServer, error) {
+	listener, err := net.Listen("tcp", agent.HTTPAddress)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Unavailable, failure.NotRun, "listen for operators")
 	}
-	s := &httpServer{listener: listener, core: core, counters: counters}
+	s := &httpServer{listener: listener, core: core, counters: counters, operators: agent.Operators, endpoint: agent.Endpoint}
 	s.server = &fasthttp.Server{
 		Handler:            s.handle,
 		Name:               "cactuspost-agent",
@@ -131,8 +137,38 @@
 		writeFailure(ctx, fasthttp.StatusMethodNotAllowed, failure.New(failure.Invalid, failure.NotRun, "only POST is allowed"))
 		return
 	}
+	if f := s.authorize(ctx); f != nil {
+		writeFailure(ctx, fasthttp.StatusUnauthorized, f)
+		return
+	}
 	s.core.Send(coreInput{message: &agent.Stop{}})
-	ctx.SetStatusCode(fasthttp.StatusAccepted)
+	answer := operator.DrainAnswer{Endpoint: s.endpoint, Leaving: true}
+	// An idle agent may have ended before it is asked: nothing is left then.
+	if status, f := s.ask(); f == nil {
+		answer.Busy = status.Busy
+		answer.Unacked = status.Unacked
+	}
+	writeJSON(ctx, fasthttp.StatusAccepted, answer)
+}
+
+// authorize returns a failure of kind Unauthorized unless the request has the
+// token of an operator. Every token is compared, each in constant time.
+func (s *httpServer) authorize(ctx *fasthttp.RequestCtx) *failure.Failure {
+	if len(s.operators) == 0 {
+		return nil
+	}
+	token, err := api.BearerToken(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
+	if err != nil {
+		return failure.Of(err)
+	}
+	known := false
+	for _, o := range s.operators {
+		known = o.Token.Matches(token) || known
+	}
+	if !known {
+		return failure.New(failure.Unauthorized, failure.NotRun, "not an operator's token")
+	}
+	return nil
 }
 
 // ask gets the state from the core. It returns a failure of kind Unavailable
--- a/internal/agentd/path_test.go
+++ b/internal/agentd/path_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 
+	"cactuspost.example/internal/api/operator"
+	"cactuspost.example/internal/settings"
 	"cactuspost.example/internal/structs"
 )
 
@@ -103,3 +107,35 @@
 	is.NoErr(d.Wait())
 	is.Equal(endpoint.Starts(), map[string]int{"whole": 1})
 }
+
+func TestPlannedStopNeedsAnOperatorsToken(t *testing.T) {
+	is := is.New(t)
+	endpoint := startEndpoint(t)
+	c := config(endpoint.Address(), listen(t).Addr().String())
+	c.Operators = []settings.Operator{{Name: "op", Token: settings.NewSecret("operator-token-0001")}}
+	d, err := Start(t.Context(), c)
+	is.NoErr(err)
+	for token, want := range map[string]int{"": fasthttp.StatusUnauthorized, "Bearer wrong": fasthttp.StatusUnauthorized} {
+		status, _ := drainWith(is, d, token)
+		is.Equal(status, want)
+	}
+	status, body := drainWith(is, d, "Bearer operator-token-0001")
+	is.Equal(status, fasthttp.StatusAccepted)
+	var answer operator.DrainAnswer
+	is.NoErr(json.Unmarshal(body, &answer))
+	is.Equal(answer, operator.DrainAnswer{Endpoint: c.Endpoint, Leaving: true})
+	is.NoErr(d.Wait())
+}
+
+func drainWith(is *is.I, d *Daemon, authorization string) (int, []byte) {
+	is.Helper()
+	request := fasthttp.AcquireRequest()
+	response := fasthttp.AcquireResponse()
+	request.SetRequestURI("http://" + d.HTTPAddress() + DrainPath)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	if authorization != "" {
+		request.Header.Set(fasthttp.HeaderAuthorization, authorization)
+	}
+	is.NoErr(fasthttp.Do(request, response))
+	return response.StatusCode(), response.Body()
+}
