--- a/test/cost/cost_test.go
+++ b/test/cost/cost_test.go
@@ -9,6 +9,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -22,7 +23,9 @@
 
 	"cactuspost.example/cactuspost"
 	"cactuspost.example/internal/api"
+	"cactuspost.example/internal/api/operator"
 	"cactuspost.example/internal/httpclient"
+	"cactuspost.example/internal/standin"
 	"cactuspost.example/test/cluster"
 )
 
@@ -215,3 +218,81 @@
 		})
 	}
 }
+
+// TestConfigurationAtSixtyAgents publishes notes at 60 agents and takes the time
+// until each is in force everywhere; then every instance is stopped and started
+// in turn while the table is down, and no revision may fall.
+func TestConfigurationAtSixtyAgents(t *testing.T) {
+	const agents, notes = 60, 10
+	s := start(t, 2, agents, 2)
+	slowest := time.Duration(0)
+	for n := 1; n <= notes; n++ {
+		begin := time.Now()
+		s.change(n)
+		s.awaitRevision(agents, n+1)
+		slowest = max(slowest, time.Since(begin))
+	}
+	t.Logf("%d notes at %d agents: slowest in force everywhere %s", notes, agents, slowest)
+	s.True(slowest <= 5*time.Second) // the target of today's size
+	s.Table.SetFaults(standin.Faults{Down: true})
+	for _, e := range s.Entries {
+		e.Terminate()
+		<-e.Ended()
+		s.NoErr(e.Start())
+		s.awaitRevision(agents, notes+1)
+	}
+	for _, a := range s.Agents {
+		a.Terminate()
+		<-a.Ended()
+		s.NoErr(a.Start())
+	}
+	s.awaitRevision(agents, notes+1)
+	s.Table.SetFaults(standin.Faults{})
+	s.change(notes + 1)
+	s.awaitRevision(agents, notes+2)
+}
+
+func (s *site) change(base int) {
+	note := fmt.Sprintf(`{"id": "change-%d", "author": "cost", "summary": "Another weight.", "base": %d,
+  "changed": {"teams": {%q: {"quotas": {%q: %d}}}}}`, base, base, cluster.Team, service, base+1)
+	r, err := s.http.Exchange(context.Background(), httpclient.Request{
+		Method: http.MethodPost, URL: s.Entries[0].URL() + api.NotesPath, Token: cluster.OperatorToken, Body: []byte(note), Timeout: timeout,
+	})
+	s.NoErr(err)
+	s.Equal(r.Status, http.StatusOK)
+}
+
+// awaitRevision waits until each entry by itself knows every agent at the
+// revision. A lower revision of an entry is never seen on the way.
+func (s *site) awaitRevision(agents, revision int) {
+	for _, e := range s.Entries {
+		for !s.atRevision(e, agents, uint64(revision)) {
+			time.Sleep(askAgain)
+		}
+	}
+}
+
+// atRevision asks an entry for its own view: during an outage of the table the
+// entries that were started in it are not in each other's lists.
+func (s *site) atRevision(e *cluster.Entry, agents int, revision uint64) bool {
+	r, err := s.http.Exchange(context.Background(), httpclient.Request{Method: http.MethodGet, URL: e.URL() + api.EndpointsPath, Token: cluster.OperatorToken, Timeout: timeout})
+	if err != nil {
+		return false
+	}
+	var answer operator.EndpointsAnswer
+	s.NoErr(json.Unmarshal(r.Body, &answer))
+	for _, view := range answer.Entries {
+		if view.Entry.Name != e.Name {
+			continue
+		}
+		if view.Failure != nil || len(view.Endpoints) < agents || view.Revision != revision {
+			return false
+		}
+		for _, endpoint := range view.Endpoints {
+			if endpoint.Revision != revision || endpoint.Session != "up" {
+				return false
+			}
+		}
+	}
+	return true
+}
