--- a/test/faults/freeze_test.go
+++ b/test/faults/freeze_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestFrozenOwner freezes the owner of a running job until other entries call
-// the job failed, and thaws it. It must not call the job complete then.
+// the job failed and its lease has lapsed, and thaws it. It must not call the job complete then.
 func TestFrozenOwner(t *testing.T) {
 	b := startBench(t, small)
 	owner, other := b.newClient(0), b.newClient(1)
@@ -25,6 +25,7 @@
 	b.is.True(said != nil && said.failure != nil)
 	b.is.Equal(said.failure.Kind, cactuspost.Expired)
 	b.is.True(said.failure.Run != cactuspost.NotRun)
+	b.until("the frozen owner's lease has lapsed", func() bool { return len(b.views(1)) == 1 })
 	// The result has reached the owner's socket meanwhile, and so do questions.
 	states := make(chan string, questions)
 	for range questions {
