--- a/internal/entryd/notes.go
+++ b/internal/entryd/notes.go
@@ -91,7 +91,7 @@
 	case r.Method == http.MethodPost:
 		return n.publish(r)
 	case r.Query[api.RevisionParameter] != "":
-		return n.earlier(r.Query[api.RevisionParameter])
+		return n.earlier(r)
 	default:
 		return n.current(r)
 	}
@@ -151,8 +151,8 @@
 }
 
 // earlier returns the note that made a revision, as it was published.
-func (n *notes) earlier(revision string) ([]byte, *failure.Failure) {
-	number, err := strconv.ParseUint(revision, 10, 64)
+func (n *notes) earlier(r OperatorRequest) ([]byte, *failure.Failure) {
+	number, err := strconv.ParseUint(r.Query[api.RevisionParameter], 10, 64)
 	if err != nil || number == 0 {
 		return nil, failure.New(failure.Invalid, failure.NotRun, api.RevisionParameter+" is not a revision")
 	}
@@ -167,6 +167,9 @@
 	if err != nil {
 		return nil, told(err)
 	}
+	if r.Text {
+		return []byte(release.RenderPublished(published)), nil
+	}
 	return encodeOr(published)
 }
 
--- a/internal/release/render.go
+++ b/internal/release/render.go
@@ -45,6 +45,37 @@
 	return p.String()
 }
 
+// RenderPublished returns an earlier note for people: when it was accepted, what
+// it listed, and the items as it gave them.
+func RenderPublished(n *Published) string {
+	p := &page{}
+	p.line("Revision %d was made at %s by release note %s of %s:", n.Revision, timeText(n.AtMS), n.Note.ID, n.Note.Author)
+	p.line("  %s", n.Note.Summary)
+	p.note(&n.Note)
+	for _, items := range []Items{n.Note.Added, n.Note.Changed} {
+		p.contents(items)
+	}
+	return p.String()
+}
+
+// contents describes the items of a note.
+func (p *page) contents(items Items) {
+	for _, name := range slices.Sorted(maps.Keys(items.Services)) {
+		p.block("service "+name, serviceWords(items.Services[name]))
+	}
+	for _, name := range slices.Sorted(maps.Keys(items.Teams)) {
+		p.block("team "+name, teamWords(items.Teams[name]))
+	}
+}
+
+func (p *page) block(title string, words []string) {
+	p.line("")
+	p.line("%s", title)
+	for _, text := range words {
+		p.line("  %s", text)
+	}
+}
+
 // RenderDifferences returns a dry run's result.
 func RenderDifferences(differences []Difference) string {
 	if len(differences) == 0 {
--- a/internal/release/render_test.go
+++ b/internal/release/render_test.go
@@ -1,10 +1,13 @@
 package release
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"cactuspost.example/internal/structs"
 )
 
 const firstPage = `Revision 1 is in force since 2023-11-14 22:13:20 UTC (1m30s ago).
@@ -52,3 +55,19 @@
 	is.Equal(RenderNotes(View{}), "No configuration is in force: no release note was published yet.\n"+
 		"Until one is, entries take no work.\n")
 }
+
+func TestRenderPublished(t *testing.T) {
+	is := is.New(t)
+	published := &Published{Revision: 3, AtMS: 1_800_000_000_000, Note: Note{
+		ID: "winter-2", Author: "Nadine", Summary: "Close the old service.",
+		Changed:   Items{Teams: map[string]structs.Team{"crews": {Quotas: map[string]float64{"recession": 2}}}},
+		Withdrawn: Names{Services: []string{"survey"}},
+	}}
+	text := RenderPublished(published)
+	for _, want := range []string{
+		"Revision 3 was made at 2027-01-15 08:00:00 UTC by release note winter-2 of Nadine:",
+		"  changed   team crews", "  withdrew  service survey", "team crews\n  may use recession, with weight 2",
+	} {
+		is.True(strings.Contains(text, want))
+	}
+}
