One planned stop for entry and agent; a submission is digested once

Read over the whole change: the binding of chart drain stood in both cores and is now package drain; the two copies of setDuration give way to cmp.Or; an accepted submission was digested twice on the hot path; a one-line function with one caller is gone. Behaviour is unchanged.

--- a/internal/agent/charts.go
+++ b/internal/agent/charts.go
@@ -7,10 +7,9 @@
 
 // The machines are set by init, since their actions refer to them.
 var (
-	linkChart  *chart.Machine[linkStep]
-	slotChart  *chart.Machine[slotStep]
-	runChart   *chart.Machine[runStep]
-	drainChart *chart.Machine[*Core]
+	linkChart *chart.Machine[linkStep]
+	slotChart *chart.Machine[slotStep]
+	runChart  *chart.Machine[runStep]
 )
 
 // linkStep is the context of chart link.
@@ -134,29 +133,13 @@
 	EntryGone chart.Event `chart:"entry_gone"`
 }
 
-func compileDrainChart() *chart.Machine[*Core] {
-	return chart.MustCompile(charts.Files, "drain", chart.Bindings[*Core]{
-		Actions: map[string]func(*Core){
-			"announce": (*Core).announceDrain,
-			"finish":   func(c *Core) { c.emit(&Drained{}) },
-		},
-	})
-}
-
-var drainEvents struct {
-	Stop chart.Event `chart:"stop"`
-	Idle chart.Event `chart:"idle"`
-}
-
 func init() {
 	linkChart = compileLinkChart()
 	slotChart = compileSlotChart()
 	runChart = compileRunChart()
-	drainChart = compileDrainChart()
 	linkChart.MustNames(&linkEvents)
 	linkChart.MustNames(&linkStates)
 	slotChart.MustNames(&slotEvents)
 	slotChart.MustNames(&slotStates)
 	runChart.MustNames(&runEvents)
-	drainChart.MustNames(&drainEvents)
 }
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -1,10 +1,11 @@
 package agent
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
-	"cactuspost.example/internal/chart"
+	"cactuspost.example/internal/drain"
 	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/structs"
 )
@@ -43,19 +44,13 @@
 const defaultUnacked = 4096
 
 func (t Tuning) withDefaults() Tuning {
-	setDuration(&t.Silence, 5*time.Second)
-	setDuration(&t.EntryGrace, 10*time.Second)
-	setDuration(&t.FirstRetry, 50*time.Millisecond)
-	setDuration(&t.LastRetry, 2*time.Second)
+	t.Silence = cmp.Or(t.Silence, 5*time.Second)
+	t.EntryGrace = cmp.Or(t.EntryGrace, 10*time.Second)
+	t.FirstRetry = cmp.Or(t.FirstRetry, 50*time.Millisecond)
+	t.LastRetry = cmp.Or(t.LastRetry, 2*time.Second)
 	return t
 }
 
-func setDuration(d *time.Duration, fallback time.Duration) {
-	if *d == 0 {
-		*d = fallback
-	}
-}
-
 // Core decides for one endpoint; see the package comment.
 type Core struct {
 	opts   Options
@@ -64,7 +59,7 @@
 	now    time.Time
 
 	doc        *structs.Document
-	drain      chart.State
+	drain      *drain.Drain
 	endpointUp bool
 
 	slots []*slot
@@ -92,10 +87,10 @@
 		opts:   o,
 		tuning: o.Tuning.withDefaults(),
 		rng:    rand.New(rand.NewPCG(o.Seed, uint64(o.Incarnation))),
-		drain:  drainChart.Initial(),
 		byID:   map[LinkID]*link{},
 		runs:   map[structs.GrantID]*run{},
 	}
+	c.drain = drain.New(c.announceDrain, func() { c.emit(&Drained{}) })
 	for range o.Slots {
 		c.slots = append(c.slots, &slot{state: slotChart.Initial()})
 	}
@@ -120,7 +115,7 @@
 	case *EndpointChanged:
 		c.endpointChanged(m.Up)
 	case *Stop:
-		drainChart.Fire(&c.drain, drainEvents.Stop, c)
+		c.drain.Stop()
 	case *Inspect:
 		c.emit(&Inspected{Reply: m.Reply, View: c.view()})
 	}
@@ -149,7 +144,7 @@
 		c.flushLink(l)
 	}
 	if len(c.runs) == 0 && !c.linked() {
-		drainChart.Fire(&c.drain, drainEvents.Idle, c)
+		c.drain.Idle()
 	}
 }
 
@@ -166,7 +161,7 @@
 	c.emit(&Happened{Event: id, Entry: entry, Grant: grant, Detail: detail})
 }
 
-func (c *Core) leaving() bool { return c.drain != drainChart.Initial() }
+func (c *Core) leaving() bool { return c.drain.Leaving() }
 
 // linked reports whether an entry may still have a grant on the way: it is
 // connected and has not said that it holds none.
--- a/internal/dispatch/charts.go
+++ b/internal/dispatch/charts.go
@@ -12,7 +12,6 @@
 	jobChart     *chart.Machine[jobStep]
 	sessionChart *chart.Machine[sessionStep]
 	healthChart  *chart.Machine[healthStep]
-	drainChart   *chart.Machine[*Core]
 )
 
 // taskStep is the context of chart task: one task and, for the end of a grant,
@@ -174,26 +173,11 @@
 	Tried     chart.State `chart:"tried"`
 }
 
-func compileDrainChart() *chart.Machine[*Core] {
-	return chart.MustCompile(charts.Files, "drain", chart.Bindings[*Core]{
-		Actions: map[string]func(*Core){
-			"announce": (*Core).announceDrain,
-			"finish":   func(c *Core) { c.emit(&Drained{}) },
-		},
-	})
-}
-
-var drainEvents struct {
-	Stop chart.Event `chart:"stop"`
-	Idle chart.Event `chart:"idle"`
-}
-
 func init() {
 	taskChart = compileTaskChart()
 	jobChart = compileJobChart()
 	sessionChart = compileSessionChart()
 	healthChart = compileHealthChart()
-	drainChart = compileDrainChart()
 	taskChart.MustNames(&taskEvents)
 	taskChart.MustNames(&taskStates)
 	jobChart.MustNames(&jobEvents)
@@ -202,5 +186,4 @@
 	sessionChart.MustNames(&sessionStates)
 	healthChart.MustNames(&healthEvents)
 	healthChart.MustNames(&healthStates)
-	drainChart.MustNames(&drainEvents)
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"cactuspost.example/internal/burn"
-	"cactuspost.example/internal/chart"
+	"cactuspost.example/internal/drain"
 	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
 	"cactuspost.example/internal/structs"
@@ -34,7 +34,7 @@
 	// retired keeps services that were withdrawn, for jobs accepted before.
 	retired map[string]structs.Service
 	peers   []structs.Peer
-	drain   chart.State
+	drain   *drain.Drain
 
 	lastSeq  uint64
 	jobs     map[uint64]*job
@@ -64,11 +64,10 @@
 
 // New returns a core that knows no configuration and no agents.
 func New(o Options) *Core {
-	return &Core{
+	c := &Core{
 		self:     o.Self,
 		tuning:   o.Tuning.withDefaults(),
 		rng:      rand.New(rand.NewPCG(o.Seed, uint64(o.Self.Incarnation))),
-		drain:    drainChart.Initial(),
 		jobs:     map[uint64]*job{},
 		waiters:  map[ReplyID]*job{},
 		pools:    map[string]*pool{},
@@ -79,6 +78,8 @@
 		kinds:    map[kindKey]*kind{},
 		ledger:   burn.NewLedger(),
 	}
+	c.drain = drain.New(c.announceDrain, func() { c.emit(&Drained{}) })
+	return c
 }
 
 // Step handles one message at the given time. Expired jobs end first, so that
@@ -106,7 +107,7 @@
 	case *SetPeers:
 		c.setPeers(m.Peers)
 	case *Stop:
-		drainChart.Fire(&c.drain, drainEvents.Stop, c)
+		c.drain.Stop()
 	case *Inspect:
 		c.emit(&Inspected{Reply: m.Reply, View: c.view()})
 	case *Account:
@@ -141,7 +142,7 @@
 		c.flushPool(p)
 	}
 	if c.openJobs == 0 && c.undelivered == 0 {
-		drainChart.Fire(&c.drain, drainEvents.Idle, c)
+		c.drain.Idle()
 	}
 }
 
@@ -204,7 +205,7 @@
 	}
 }
 
-func (c *Core) leaving() bool { return c.drain != drainChart.Initial() }
+func (c *Core) leaving() bool { return c.drain.Leaving() }
 
 // announceDrain tells the agents to keep their unused credits for others. What
 // waits here is asked for by demand.
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -108,9 +108,8 @@
 		c.refuse(m.Reply, f)
 		return
 	}
-	digest := digestOf(&m.Submission)
 	if j.digest != 0 {
-		c.resubmit(j, m, digest)
+		c.resubmit(j, m)
 		return
 	}
 	j.refusal = nil
@@ -133,9 +132,9 @@
 }
 
 // resubmit answers a submission of a job whose tasks are known.
-func (c *Core) resubmit(j *job, m *SubmitJob, digest uint64) {
+func (c *Core) resubmit(j *job, m *SubmitJob) {
 	c.stats.JobsResubmits++
-	if j.digest != digest {
+	if j.digest != digestOf(&m.Submission) {
 		c.refuse(m.Reply, failure.New(failure.Conflict, failure.Unknown, "the id was submitted with other tasks"))
 		return
 	}
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -30,7 +30,7 @@
 
 // learn corrects the team's account and what is known of kind and worker.
 func (c *Core) learn(s *session, t *task, r *structs.Result) {
-	c.forgetStartedPayload(t)
+	t.payload = nil // it won't be granted again
 	t.lane.adjust(r.RunTime - t.cost)
 	switch r.Outcome {
 	case structs.Succeeded:
@@ -45,9 +45,6 @@
 	}
 }
 
-// forgetStartedPayload frees the payload of a task that won't be granted again.
-func (c *Core) forgetStartedPayload(t *task) { t.payload = nil }
-
 func (c *Core) takeRefusals(s *session, refusals []structs.Refusal) {
 	for _, r := range refusals {
 		c.stats.Messages.Refusals++
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Tuning holds the constants of the policy. Tests and measurements that scale
 // task times scale these with them.
@@ -51,25 +54,15 @@
 )
 
 func (t Tuning) withDefaults() Tuning {
-	setDuration(&t.LongTask, 1500*time.Millisecond)
-	setDuration(&t.FirstEstimate, 50*time.Millisecond)
-	setDuration(&t.DemandDelay, 10*time.Millisecond)
-	setDuration(&t.DemandSpread, 100*time.Millisecond)
-	setDuration(&t.AgentGrace, 10*time.Second)
-	setDuration(&t.Cooling, 2*time.Second)
-	setDuration(&t.ScanPeriod, 100*time.Millisecond)
-	setDuration(&t.AckDelay, 3*time.Second)
-	if t.MaxWaitingBytes == 0 {
-		t.MaxWaitingBytes = 64 << 20
-	}
-	if t.MaxJobs == 0 {
-		t.MaxJobs = 200_000
-	}
+	t.LongTask = cmp.Or(t.LongTask, 1500*time.Millisecond)
+	t.FirstEstimate = cmp.Or(t.FirstEstimate, 50*time.Millisecond)
+	t.DemandDelay = cmp.Or(t.DemandDelay, 10*time.Millisecond)
+	t.DemandSpread = cmp.Or(t.DemandSpread, 100*time.Millisecond)
+	t.AgentGrace = cmp.Or(t.AgentGrace, 10*time.Second)
+	t.Cooling = cmp.Or(t.Cooling, 2*time.Second)
+	t.ScanPeriod = cmp.Or(t.ScanPeriod, 100*time.Millisecond)
+	t.AckDelay = cmp.Or(t.AckDelay, 3*time.Second)
+	t.MaxWaitingBytes = cmp.Or(t.MaxWaitingBytes, 64<<20)
+	t.MaxJobs = cmp.Or(t.MaxJobs, 200_000)
 	return t
 }
-
-func setDuration(d *time.Duration, fallback time.Duration) {
-	if *d == 0 {
-		*d = fallback
-	}
-}
