--- /dev/null
+++ b/cmd/cactuspost-node/agent.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cactuspost.example/internal/agentd"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/leased"
+	"cactuspost.example/internal/settings"
+	"cactuspost.example/platform"
+)
+
+// metricsPort is the agent's operators' port, counted in the platform's range.
+const metricsPort = 2
+
+const (
+	// entryHeaderTimeout bounds the arrival of an operator's request.
+	entryHeaderTimeout = 2 * time.Second
+	// longTask is longer than any task: these workers have no reserve for short
+	// ones.
+	longTask = time.Hour
+	// unackedLimit bounds the results that wait for an entry.
+	unackedLimit = 100_000
+	// controlStop bounds the end of the server for heartbeats.
+	controlStop = 200 * time.Millisecond
+)
+
+// runAgent serves the worker on the same machine until a planned stop is done.
+func runAgent(ctx context.Context, n *node) error {
+	keeper := agentd.NewKeeper(func(a agentd.Announcement) agentd.Config { return agentConfig(n, a) }, n.log)
+	control, err := platform.StartControl(n.platform, keeper.Announce, n.log)
+	if err != nil {
+		n.log.Event(event.ListenFailed, zap.String("error", err.Error()))
+		return err
+	}
+	n.log.Event(event.DaemonStarted, zap.String("control", n.platform.ControlAddress))
+	go func() {
+		<-n.stops
+		n.log.Event(event.StopRequested)
+		keeper.Stop()
+	}()
+	keeper.Run(ctx)
+	stopping, cancel := context.WithTimeout(ctx, controlStop)
+	defer cancel()
+	control.Stop(stopping)
+	n.log.Event(event.DaemonStopped)
+	return nil
+}
+
+func agentConfig(n *node, a agentd.Announcement) agentd.Config {
+	s, p := n.settings, n.platform
+	return agentd.Config{
+		Agent: settings.Agent{
+			Endpoint: p.Node, DataCentre: p.DataCentre, Pool: a.Pool,
+			Slots: agentd.Shares(a.Capacity), Capacity: a.Capacity,
+			Entries: p.Seeds, HTTPAddress: p.OwnAddress(metricsPort), UnackedLimit: unackedLimit,
+		},
+		Worker: platform.NewWorker(p.WorkerAddress, a.Worker),
+		Lease:  leased.Tuning{Lease: s.Lease, Wait: s.LookWait},
+		Timing: agentd.Timing{Heartbeat: s.Heartbeat, Silence: s.EntrySilence, EntryGrace: s.EntryGrace, Pause: s.Pause},
+		Log:    n.log,
+	}
+}
--- /dev/null
+++ b/cmd/cactuspost-node/entry.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"cactuspost.example/internal/dispatch"
+	"cactuspost.example/internal/entryd"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/follow"
+	"cactuspost.example/internal/settings"
+	"cactuspost.example/internal/structs"
+	"cactuspost.example/platform"
+)
+
+// Ports of an entry, counted in the platform's range.
+const (
+	operatorsPort = 0
+	peersPort     = 1
+)
+
+// entryLimits bound the operators' interface, which callers don't use here.
+var entryLimits = settings.Limits{MaxBody: 1 << 20, MaxConnections: 64, HeaderTimeout: entryHeaderTimeout}
+
+// runEntry serves until a planned stop is done.
+func runEntry(ctx context.Context, n *node) error {
+	daemon, err := entryd.Start(ctx, entryConfig(n))
+	if err != nil {
+		n.log.Event(event.ListenFailed, zap.String("error", err.Error()))
+		return err
+	}
+	follows, cancel := context.WithCancel(ctx)
+	defer cancel()
+	store := platform.NewStore(n.platform.StoreAddress)
+	members := follow.NewMembers(store, daemon.Self(), n.settings.FeedWait, daemon.SetPeers, n.log)
+	config := platform.FollowConfig(follow.Options{Wait: n.settings.FeedWait, Log: n.log}, store, func(raw []byte) {
+		adopt(n, daemon, raw)
+	})
+	go members.Run(follows)
+	go config.Run(follows)
+	select {
+	case <-n.stops:
+		daemon.Stop()
+	case <-daemon.Done():
+	}
+	daemon.Wait()
+	cancel()
+	members.Leave(ctx)
+	return nil
+}
+
+func adopt(n *node, daemon *entryd.Daemon, raw []byte) {
+	doc, err := platform.DecodeConfig(raw)
+	if err != nil {
+		n.log.Event(event.BadConfigurationRow, zap.String("error", err.Error()))
+		return
+	}
+	n.log.Event(event.ConfigurationAdopted, zap.Uint64("revision", doc.Revision))
+	daemon.Configure(doc)
+}
+
+func entryConfig(n *node) entryd.Config {
+	s, p := n.settings, n.platform
+	return entryd.Config{
+		Self:        structs.Peer{Name: p.Node, DataCentre: p.DataCentre, LinkAddress: p.ControlAddress},
+		HTTPAddress: p.OwnAddress(operatorsPort),
+		PeerAddress: p.OwnAddress(peersPort),
+		LinkAddress: p.ControlAddress,
+		Limits:      entryLimits,
+		Settle:      s.Settle, DrainTimeout: s.DrainTimeout,
+		Heartbeat: s.Heartbeat, SilentBeats: s.SilentBeats,
+		NewCore: func(self structs.Peer, seed uint64) entryd.Core {
+			return dispatch.New(dispatch.Options{Self: self, Seed: seed, Tuning: dispatch.Tuning{
+				AgentGrace: s.AgentGrace, Estimates: dispatch.Declared, LongTask: longTask,
+			}})
+		},
+		NewIngress: func(g *entryd.Gateway) (entryd.Ingress, error) { return platform.StartFront(p, g, n.log) },
+		Log:        n.log,
+	}
+}
--- a/internal/agent/charts.go
+++ b/internal/agent/charts.go
@@ -107,7 +107,7 @@
 func compileRunChart() *chart.Machine[runStep] {
 	return chart.MustCompile(charts.Files, "run", chart.Bindings[runStep]{
 		Guards: map[string]func(runStep) bool{
-			"may_start": func(s runStep) bool { return s.run.slot != nil },
+			"may_start": func(s runStep) bool { return s.run.slots != nil },
 		},
 		Actions: map[string]func(runStep){
 			"start":         func(s runStep) { s.core.startRun(s.run) },
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -20,6 +20,9 @@
 	// Slots is the number of tasks that the endpoint runs at once.
 	Slots    int
 	Capacity structs.Needs
+	// Divided says that the slots are equal shares of Capacity, so that a task
+	// takes as many as its needs ask for.
+	Divided bool
 	// Entries lists link addresses of entries; they tell of the others.
 	Entries []string
 	// UnackedLimit bounds the results kept for entries; zero means the default.
@@ -36,6 +39,9 @@
 	Silence time.Duration
 	// EntryGrace is how long a lost entry may take to come back.
 	EntryGrace time.Duration
+	// Pause is the longest time between two inputs that doesn't count as a pause
+	// of this process; zero means that pauses are not noticed.
+	Pause time.Duration
 	// FirstRetry and LastRetry bound the pause between attempts to connect.
 	FirstRetry, LastRetry time.Duration
 }
@@ -102,7 +108,7 @@
 
 // Step handles one message at the given time.
 func (c *Core) Step(now time.Time, m Message) {
-	c.now = now
+	c.notePause(now)
 	switch m := m.(type) {
 	case *LinkOpened:
 		c.linkOpened(m.Link)
@@ -123,7 +129,7 @@
 
 // Tick does what depends on time alone. Call it about every ten milliseconds.
 func (c *Core) Tick(now time.Time) {
-	c.now = now
+	c.notePause(now)
 	for _, l := range c.links {
 		c.tickLink(l)
 	}
@@ -155,6 +161,19 @@
 	return effects
 }
 
+// notePause gives up every connection after a pause of this process: entries
+// may have granted elsewhere what still waits to be read here.
+func (c *Core) notePause(now time.Time) {
+	paused := !c.now.IsZero() && now.Sub(c.now) > c.tuning.Pause
+	c.now = now
+	if c.tuning.Pause == 0 || !paused {
+		return
+	}
+	for _, l := range c.links {
+		c.fireLink(l, linkEvents.Silent)
+	}
+}
+
 func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
 
 func (c *Core) happened(id event.ID, entry string, grant structs.GrantID, detail string) {
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -39,6 +39,8 @@
 	Outcome structs.Outcome
 	Payload []byte
 	RunTime time.Duration
+	// Full is set with NotSent if the endpoint had no room for the task.
+	Full bool
 }
 
 // EndpointChanged says whether the endpoint accepts connections. While it does
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -13,11 +13,12 @@
 type run struct {
 	grant     structs.Grant
 	link      *link
-	slot      *slot
+	slots     []*slot
 	state     chart.State
 	limit     time.Duration
 	overLimit bool
 	unsent    bool
+	full      bool
 	startedAt time.Time
 	result    structs.Result
 }
@@ -35,7 +36,7 @@
 		return
 	}
 	r := &run{grant: *g, link: l, state: runChart.Initial(), limit: g.Limit}
-	r.slot = c.offeredSlot(l, g.Reserved)
+	r.slots = c.offeredSlots(l, g.Reserved, g.Credits())
 	c.runs[g.ID] = r
 	c.fireRun(r, runEvents.Decide)
 }
@@ -43,7 +44,9 @@
 func (c *Core) startRun(r *run) {
 	c.started++
 	r.startedAt = c.now
-	c.fireSlot(r.slot, slotEvents.Start, r)
+	for _, s := range r.slots {
+		c.fireSlot(s, slotEvents.Start, r)
+	}
 	c.emit(&StartTask{Grant: r.grant})
 	r.grant.Payload = nil
 }
@@ -61,6 +64,8 @@
 
 func (c *Core) refusalReason(r *run) structs.RefusalReason {
 	switch {
+	case r.full:
+		return structs.EndpointFull
 	case r.unsent:
 		return structs.EndpointUnreached
 	case c.leaving():
@@ -86,6 +91,7 @@
 	}
 	if m.Outcome == structs.NotSent {
 		r.unsent = true
+		r.full = m.Full
 		c.started--
 		c.fireRun(r, runEvents.Unsent)
 		return
@@ -98,8 +104,10 @@
 }
 
 func (c *Core) freeSlot(r *run) {
-	c.fireSlot(r.slot, slotEvents.Release, r)
-	r.slot = nil
+	for _, s := range r.slots {
+		c.fireSlot(s, slotEvents.Release, r)
+	}
+	r.slots = nil
 }
 
 // sendResult puts the result into the next message, if the link is up. If it
--- a/internal/agent/slot.go
+++ b/internal/agent/slot.go
@@ -86,11 +86,23 @@
 	s.returned = true
 }
 
-// offeredSlot returns a slot whose credit of the class the entry holds, or nil.
-func (c *Core) offeredSlot(l *link, reserved bool) *slot {
+// offeredSlots returns as many slots as asked for whose credits of the class the
+// entry holds, or nil if it holds fewer.
+func (c *Core) offeredSlots(l *link, reserved bool, count int) []*slot {
+	held := l.credits.Any
+	if reserved {
+		held = l.credits.Short
+	}
+	if int(held) < count {
+		return nil
+	}
+	slots := make([]*slot, 0, count)
 	for _, s := range c.slots {
 		if s.state == slotStates.Offered && s.link == l && s.reserved == reserved {
-			return s
+			slots = append(slots, s)
+		}
+		if len(slots) == count {
+			return slots
 		}
 	}
 	return nil
@@ -114,7 +126,7 @@
 		if need <= 0 {
 			return
 		}
-		if s.link != l && c.unused(s) {
+		if s.link != l && (c.unused(s) || c.tooFew(s, l)) {
 			c.fireSlot(s, slotEvents.Revoke, nil)
 			need--
 		}
@@ -132,6 +144,14 @@
 	return s.state == slotStates.Offered && s.link.wanted() == 0 && c.now.Sub(s.offeredAt) >= restTime
 }
 
+// tooFew reports whether an entry keeps the credit although its tasks wait: it
+// has too few for any of them. Then they are of more use to an entry whose
+// first task waits longer.
+func (c *Core) tooFew(s *slot, l *link) bool {
+	return c.opts.Divided && s.state == slotStates.Offered && s.link.demand.HeadAge < l.demand.HeadAge &&
+		c.now.Sub(s.offeredAt) >= restTime
+}
+
 // convert takes back Short credits when long tasks wait and may have the slots.
 func (c *Core) convert(l *link) {
 	need := int(l.demand.Long) - c.count(slotStates.Free) - int(l.credits.Any)
@@ -278,9 +298,20 @@
 	l.demand.Short -= min(l.demand.Short, 1)
 }
 
-// keptMore is how many unused credits more than another an entry may keep
-// before a slot goes to the other. Each such slot costs a message.
-const keptMore = 2
+const (
+	// keptMore is how many unused credits more than another an entry may keep
+	// before a slot goes to the other. Each such slot costs a message.
+	keptMore = 2
+	// keptShare is the same for divided slots, as a part of them all.
+	keptShare = 0.125
+)
+
+func (c *Core) keptMore() uint32 {
+	if c.opts.Divided {
+		return uint32(keptShare * float64(len(c.slots)))
+	}
+	return keptMore
+}
 
 // defaultLink chooses the entry for a slot that nobody asks for: the one whose
 // task has just left it, unless it holds more credits than another.
@@ -294,7 +325,7 @@
 	if fewest == nil || !s.returned || !s.link.takesCredits() {
 		return fewest
 	}
-	if s.link.credits.Total() > fewest.credits.Total()+keptMore {
+	if s.link.credits.Total() > fewest.credits.Total()+c.keptMore() {
 		return fewest
 	}
 	return s.link
--- a/internal/agentd/connection.go
+++ b/internal/agentd/connection.go
@@ -123,11 +123,11 @@
 	if c.state != connectionStates.Open && c.state != connectionStates.Finishing {
 		return
 	}
-	if now.Sub(c.lastHeard) > silenceLimit {
+	if now.Sub(c.lastHeard) > c.owner.timing.Silence {
 		c.fire(connectionEvents.Silent)
 		return
 	}
-	if now.Sub(c.lastSent) > heartbeatInterval {
+	if now.Sub(c.lastSent) > c.owner.timing.Heartbeat {
 		c.send(now, &structs.FromAgent{Heartbeat: true})
 	}
 	c.askProgress()
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -12,10 +12,12 @@
 package agentd
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -23,6 +25,7 @@
 	"cactuspost.example/internal/agent"
 	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/leased"
 	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/settings"
 	"cactuspost.example/internal/structs"
@@ -31,17 +34,45 @@
 // Config is what an agent learns from its settings.
 type Config struct {
 	settings.Agent
+	// Worker runs tasks under a lease, in place of the endpoint at
+	// EndpointAddress; its slots are equal shares of the capacity. Nil means that
+	// there is none.
+	Worker Worker
+	Lease  leased.Tuning
+	// Timing bounds the silence of entries.
+	Timing Timing
 	// Log may be nil.
 	Log *logging.Logger
 }
 
+// Timing holds the times after which entries count as lost; zero means the
+// defaults.
+type Timing struct {
+	// Heartbeat is how long a link may be without a message from here.
+	Heartbeat time.Duration
+	// Silence is how long a link may be without a message from the entry.
+	Silence time.Duration
+	// EntryGrace is how long a lost entry may take to come back before its tasks
+	// are stopped.
+	EntryGrace time.Duration
+	// Pause is the longest time without processor that is not taken for a pause
+	// of this process; zero means that pauses are not noticed.
+	Pause time.Duration
+}
+
+func (t Timing) withDefaults() Timing {
+	t.Heartbeat = cmp.Or(t.Heartbeat, heartbeatInterval)
+	t.Silence = cmp.Or(t.Silence, silenceLimit)
+	return t
+}
+
 // Check returns a failure of kind Invalid if an agent can't start with the
 // configuration.
 func (c Config) Check() error {
 	switch {
 	case c.Slots < 1:
 		return failure.New(failure.Invalid, failure.NotRun, "at least one slot is needed")
-	case c.Connections < c.Slots+probeConnections:
+	case c.Worker == nil && c.Connections < c.Slots+probeConnections:
 		return failure.Newf(failure.Invalid, failure.NotRun,
 			"%d slots need at least %d connections, %d of them for health checks", c.Slots, c.Slots+probeConnections, probeConnections)
 	}
@@ -80,22 +111,27 @@
 	if err != nil {
 		return nil, err
 	}
-	links, err := newLinks(linksInbox, coreInbox, log, counters)
+	links, err := newLinks(linksInbox, coreInbox, c.Timing, log, counters)
 	if err != nil {
 		server.stop()
 		return nil, err
 	}
 	core := newCore(coreInbox, d, linksInbox, runnerInbox, log)
-	runner := newRunner(runnerInbox, coreInbox, probeInbox, c, counters)
-	probe := newProbe(probeInbox, coreInbox, c.EndpointAddress, log)
 
 	ctx, cancel := context.WithCancel(ctx)
 	daemon := &Daemon{
 		core: coreInbox, links: linksInbox, http: server, log: log,
 		incarnation: incarnation, cancel: cancel, ended: make(chan struct{}),
 	}
-	daemon.parts.Go(func() { runner.run(ctx) })
-	daemon.parts.Go(func() { probe.run(ctx) })
+	if c.Worker != nil {
+		runner := newLeasedRunner(runnerInbox, coreInbox, c, counters, log, cancel)
+		daemon.parts.Go(func() { runner.run(ctx) })
+	} else {
+		runner := newRunner(runnerInbox, coreInbox, probeInbox, c, counters)
+		probe := newProbe(probeInbox, coreInbox, c.EndpointAddress, log)
+		daemon.parts.Go(func() { runner.run(ctx) })
+		daemon.parts.Go(func() { probe.run(ctx) })
+	}
 	daemon.parts.Go(func() { links.run(ctx) })
 	go daemon.supervise(ctx, core)
 	server.start()
@@ -156,3 +192,17 @@
 		}
 	}
 }
+
+const (
+	// slotMillicores is the part of a worker's processors that one share stands
+	// for: small against a task, so that rounding wastes little.
+	slotMillicores = 100
+	// minShares and maxShares bound the shares of a worker.
+	minShares = 16
+	maxShares = 320
+)
+
+// Shares returns the number of slots into which a worker's capacity is divided.
+func Shares(capacity structs.Needs) int {
+	return int(min(maxShares, max(minShares, capacity.Processor()/slotMillicores)))
+}
--- /dev/null
+++ b/internal/agentd/leased.go
@@ -0,0 +1,138 @@
+package agentd
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cactuspost.example/internal/actor"
+	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/leased"
+	"cactuspost.example/internal/logging"
+	"cactuspost.example/internal/structs"
+)
+
+// Worker is an endpoint that runs tasks under one lease. Each call blocks until
+// it was answered or its time limit has passed; calls may overlap.
+type Worker interface {
+	Start(*leased.SendStart) leased.Verdict
+	Stop(*leased.SendStop) leased.Verdict
+	Look(*leased.Look) (leased.Verdict, leased.Report)
+}
+
+// leasedPeriod is the time between two looks at the clock: several in a lease.
+const leasedPeriod = 25 * time.Millisecond
+
+// workerAnswered brings the answer of a call to the leased runner.
+type workerAnswered struct{ message leased.Message }
+
+func (*workerAnswered) isRunnerInput() {}
+
+// leasedRunner starts and stops tasks at a worker that runs them under a lease.
+// Each call of the worker is on its own goroutine and ends with a message. The
+// runner waits for room at the core, which never waits for the runner.
+type leasedRunner struct {
+	inbox     *actor.Inbox[runnerInput]
+	core      *actor.Inbox[coreInput]
+	worker    Worker
+	decisions *leased.Core
+	counters  *counters
+	log       *logging.Logger
+	// over is called when the worker's life has ended.
+	over func()
+}
+
+func newLeasedRunner(inbox *actor.Inbox[runnerInput], core *actor.Inbox[coreInput], c Config, counters *counters, log *logging.Logger, over func()) *leasedRunner {
+	return &leasedRunner{
+		inbox: inbox, core: core, worker: c.Worker, decisions: leased.New(c.Lease),
+		counters: counters, log: log, over: over,
+	}
+}
+
+func (r *leasedRunner) run(ctx context.Context) { actor.Run(ctx, r.inbox, leasedPeriod, r) }
+
+// Handle passes one message to the decisions.
+func (r *leasedRunner) Handle(now time.Time, in runnerInput) bool {
+	switch m := in.(type) {
+	case *startTask:
+		r.decisions.Step(now, &leased.Start{Grant: m.grant})
+	case *stopTask:
+		r.decisions.Step(now, &leased.Stop{Grant: m.grant})
+	case *workerAnswered:
+		r.decisions.Step(now, m.message)
+	}
+	return true
+}
+
+// Tick passes the time to the decisions.
+func (r *leasedRunner) Tick(now time.Time) bool {
+	r.decisions.Tick(now)
+	return true
+}
+
+// Flush carries out the effects of a batch.
+func (r *leasedRunner) Flush(time.Time) {
+	for _, effect := range r.decisions.Effects() {
+		r.carryOut(effect)
+	}
+}
+
+func (r *leasedRunner) carryOut(effect leased.Effect) {
+	switch e := effect.(type) {
+	case *leased.SendStart:
+		r.call(func() leased.Message {
+			return &leased.StartAnswered{Run: e.Run, Verdict: r.worker.Start(e)}
+		})
+	case *leased.SendStop:
+		r.call(func() leased.Message {
+			return &leased.StopAnswered{Run: e.Run, Verdict: r.worker.Stop(e)}
+		})
+	case *leased.Look:
+		r.call(func() leased.Message { return r.look(e) })
+	case *leased.Exited:
+		r.exited(e)
+	case *leased.Available:
+		r.available(e.Up)
+	case *leased.Over:
+		r.log.Event(event.WorkerOver, zap.Stringer("cause", e.Cause))
+		r.over()
+	}
+}
+
+// call runs a call of the worker on its own goroutine.
+func (r *leasedRunner) call(f func() leased.Message) {
+	go func() { r.inbox.Send(&workerAnswered{message: f()}) }()
+}
+
+func (r *leasedRunner) look(e *leased.Look) leased.Message {
+	began := time.Now()
+	verdict, report := r.worker.Look(e)
+	return &leased.Looked{Verdict: verdict, Began: began, Report: report}
+}
+
+func (r *leasedRunner) exited(e *leased.Exited) {
+	exited := &agent.TaskExited{Grant: e.Grant, Outcome: e.Outcome, RunTime: e.RunTime, Full: e.Full}
+	r.counters.ended(exited)
+	r.logExit(e)
+	r.core.Send(coreInput{message: exited})
+}
+
+func (r *leasedRunner) logExit(e *leased.Exited) {
+	id := event.RunEnded
+	if e.Outcome != structs.Succeeded {
+		id = event.RunFailed
+	}
+	r.log.Event(id, zap.String("task", e.Task), zap.String("grant", grantText(e.Grant)),
+		zap.String("outcome", outcomeNames[e.Outcome]), zap.Duration("run_ms", e.RunTime), zap.String("detail", e.Detail))
+}
+
+func (r *leasedRunner) available(up bool) {
+	id := event.EndpointDown
+	if up {
+		id = event.EndpointUp
+	}
+	r.log.Event(id)
+	r.core.Send(coreInput{message: &agent.EndpointChanged{Up: up}})
+}
--- a/internal/agentd/links.go
+++ b/internal/agentd/links.go
@@ -86,6 +86,7 @@
 	inbox       *actor.Inbox[linksInput]
 	core        *actor.Inbox[coreInput]
 	client      *gnet.Client
+	timing      Timing
 	log         *logging.Logger
 	counters    *counters
 	connections map[agent.LinkID]*connection
@@ -101,10 +102,10 @@
 
 // newLinks starts the event loop of the connections.
 // It returns a failure of kind Internal when the operating system refuses.
-func newLinks(inbox *actor.Inbox[linksInput], core *actor.Inbox[coreInput], log *logging.Logger, counters *counters) (*links, error) {
-	l := &links{inbox: inbox, core: core, log: log, counters: counters, connections: map[agent.LinkID]*connection{}}
+func newLinks(inbox *actor.Inbox[linksInput], core *actor.Inbox[coreInput], timing Timing, log *logging.Logger, counters *counters) (*links, error) {
+	l := &links{inbox: inbox, core: core, timing: timing.withDefaults(), log: log, counters: counters, connections: map[agent.LinkID]*connection{}}
 	loop := &traffic{core: core, links: inbox, log: log, counters: counters}
-	client, err := gnet.NewClient(loop, gnet.WithLogger(networkLog{log: log}), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
+	client, err := gnet.NewClient(loop, gnet.WithLogger(logging.Network(log)), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "create the client of the links")
 	}
--- a/internal/agentd/links_test.go
+++ b/internal/agentd/links_test.go
@@ -14,7 +14,7 @@
 func startLinks(t *testing.T) (*links, <-chan coreInput) {
 	t.Helper()
 	core, seen := collect[coreInput](t)
-	l, err := newLinks(newLinksInbox(), core, logging.Discard(), newCounters())
+	l, err := newLinks(newLinksInbox(), core, Timing{}, logging.Discard(), newCounters())
 	is.New(t).NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() { cancel(); <-l.inbox.Done() })
--- a/internal/agentd/traffic.go
+++ b/internal/agentd/traffic.go
@@ -14,7 +14,7 @@
 )
 
 // heardInterval bounds how often an event loop reports that a link is alive.
-const heardInterval = 200 * time.Millisecond
+const heardInterval = 100 * time.Millisecond
 
 // session is what an event loop knows of one connection. Only the loop touches
 // it once the connection is enrolled.
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"cactuspost.example/internal/failure"
@@ -86,8 +88,11 @@
 	if f := checkSizes(service, s); f != nil {
 		return f
 	}
+	if f := checkSteps(s); f != nil {
+		return f
+	}
 	p := c.pool(service.Pool)
-	if f := p.checkNeeds(s.Needs); f != nil {
+	if f := p.checkTasks(s); f != nil {
 		return f
 	}
 	return c.checkLoad(p, service, j, s)
@@ -121,6 +126,22 @@
 	return failure.Newf(failure.NeverRuns, failure.NotRun, "no worker of pool %q is large enough", p.name)
 }
 
+// checkTasks refuses a job with a task that no worker could ever run.
+func (p *pool) checkTasks(s *structs.Submission) *failure.Failure {
+	checked := structs.Needs{}
+	for i := range s.Tasks {
+		needs := cmp.Or(s.Tasks[i].Needs, s.Needs)
+		if i > 0 && needs == checked {
+			continue
+		}
+		checked = needs
+		if f := p.checkNeeds(needs); f != nil {
+			return f
+		}
+	}
+	return nil
+}
+
 // checkLoad refuses what would wait longer than the service's objective.
 func (c *Core) checkLoad(p *pool, service *structs.Service, j *job, s *structs.Submission) *failure.Failure {
 	a := p.account(j.team)
@@ -132,6 +153,12 @@
 	}
 	a.seenAt = c.now
 	wait := c.expectedWait(p, j, s)
+	if j.timed() {
+		if c.now.Add(wait).Before(j.startLatest) {
+			return nil
+		}
+		return failure.New(failure.Overloaded, failure.NotRun, "the job would end after its deadline").WithRetry(max(minRetry, wait/2))
+	}
 	objective := service.StartObjective.Duration()
 	if wait.Seconds() <= admittedShare*objective.Seconds() {
 		return nil
@@ -143,17 +170,19 @@
 // expectedWait estimates when the job's last task would start: the slot time
 // that waits before it, over the slots that its team may use.
 func (c *Core) expectedWait(p *pool, j *job, s *structs.Submission) time.Duration {
-	free := p.freeCredits() - p.waiting
-	if free >= len(s.Tasks) {
-		return 0
-	}
+	slots := 0
 	a := p.account(j.team)
 	work := a.waitingCost
 	for i := range s.Tasks {
-		work += c.estimate(c.kind(j.service, s.Tasks[i].Kind), s.Tasks[i].Declared)
+		t := &s.Tasks[i]
+		share := p.share(cmp.Or(t.Needs, s.Needs))
+		slots += share
+		work += c.estimate(c.kind(j.service, t.Kind), t.Declared) * time.Duration(share)
+	}
+	if p.freeCredits()-p.slotsWaiting() >= slots {
+		return 0
 	}
-	slots := c.usableSlots(p) * c.teamShare(p, j)
-	return time.Duration(float64(work) / slots)
+	return time.Duration(float64(work) / (c.usableSlots(p) * c.teamShare(p, j)))
 }
 
 // usableSlots estimates how many of the pool's slots serve this entry: those
@@ -166,7 +195,7 @@
 		}
 	}
 	even := float64(total) / float64(max(1, len(c.peers)))
-	return max(1, even, float64(p.running))
+	return max(1, even, float64(p.busy))
 }
 
 // teamShare returns the part of the slots that the team gets against the teams
@@ -199,7 +228,7 @@
 // which no task has started are shed, so that their refusal is true.
 func (c *Core) shedLate() {
 	for _, p := range c.ordered {
-		for _, l := range p.ordered {
+		for _, l := range slices.Clone(p.ordered) {
 			c.shedLane(l)
 		}
 	}
@@ -208,10 +237,28 @@
 // shedLane passes over jobs of which parts have started: their other tasks keep
 // their place.
 func (c *Core) shedLane(l *lane) {
-	if l.waiting == 0 || !c.overdue(l) {
+	if l.waiting == 0 {
+		return
+	}
+	if l.first().job.timed() {
+		c.shedHopeless(l)
+		return
+	}
+	if !c.overdue(l) {
 		return
 	}
 	for _, j := range l.jobsWaitingSince(c.now.Add(-c.objective(l.service))) {
 		c.fireJob(j, jobEvents.Shed, nil)
 	}
 }
+
+// shedHopeless ends the jobs of a lane that can't end before their deadlines.
+func (c *Core) shedHopeless(l *lane) {
+	for l.waiting > 0 && l.first().job.hopeless(c.now) {
+		j := l.first().job
+		if !j.untouched() {
+			return
+		}
+		c.fireJob(j, jobEvents.Shed, nil)
+	}
+}
--- a/internal/dispatch/charts.go
+++ b/internal/dispatch/charts.go
@@ -25,11 +25,16 @@
 
 func compileTaskChart() *chart.Machine[taskStep] {
 	return chart.MustCompile(charts.Files, "task", chart.Bindings[taskStep]{
+		Guards: map[string]func(taskStep) bool{
+			"may_repeat": func(s taskStep) bool { return s.core.mayRepeat(s.task, s.result) },
+			"repeatable": func(s taskStep) bool { return s.core.serviceOf(s.task.job.service).Repeatable },
+		},
 		Actions: map[string]func(taskStep){
 			"bind_grant":     func(s taskStep) { s.core.bindGrant(s.task, s.holder) },
 			"release_grant":  func(s taskStep) { s.core.releaseGrant(s.task) },
 			"requeue":        func(s taskStep) { s.core.requeue(s.task) },
-			"leave_queue":    func(s taskStep) { s.task.lane.leave(s.task) },
+			"count_error":    func(s taskStep) { s.task.countError(s.result) },
+			"leave_queue":    func(s taskStep) { s.task.leaveQueue() },
 			"keep_result":    func(s taskStep) { s.task.result = s.result.Payload },
 			"record_failure": func(s taskStep) { s.task.job.cause = failureOf(s.task, s.result) },
 			"record_loss":    func(s taskStep) { s.task.job.cause = lossOf(s.task) },
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -40,6 +40,10 @@
 	jobs     map[uint64]*job
 	expiries expiryHeap
 	waiters  map[ReplyID]*job
+	// named holds the open jobs of callers who wait for them, by their names.
+	named map[string]*job
+	// resumeAt is when grants go on after a pause of this process.
+	resumeAt time.Time
 	// openJobs counts jobs in state open, undelivered ended jobs whose answer
 	// nobody has seen yet.
 	openJobs    int
@@ -70,6 +74,7 @@
 		rng:      rand.New(rand.NewPCG(o.Seed, uint64(o.Self.Incarnation))),
 		jobs:     map[uint64]*job{},
 		waiters:  map[ReplyID]*job{},
+		named:    map[string]*job{},
 		pools:    map[string]*pool{},
 		sessions: map[string]*session{},
 		links:    map[LinkID]*session{},
@@ -85,13 +90,19 @@
 // Step handles one message at the given time. Expired jobs end first, so that
 // an entry that was paused never answers for them otherwise.
 func (c *Core) Step(now time.Time, m Message) {
-	c.now = now
+	c.notePause(now)
 	c.expireJobs()
 	switch m := m.(type) {
 	case *CreateJobs:
 		c.createJobs(m)
 	case *SubmitJob:
 		c.submitJob(m)
+	case *RunJob:
+		c.runJob(m)
+	case *FindNamed:
+		c.findNamed(m)
+	case *CountWaiting:
+		c.emit(&Counted{Reply: m.Reply, Jobs: c.countWaiting(m.Service)})
 	case *AwaitJob:
 		c.awaitJob(m)
 	case *CancelJob:
@@ -117,7 +128,7 @@
 
 // Tick does what depends on time alone. Call it about every ten milliseconds.
 func (c *Core) Tick(now time.Time) {
-	c.now = now
+	c.notePause(now)
 	c.expireJobs()
 	c.shedLate()
 	if now.Sub(c.lastScan) < c.tuning.ScanPeriod {
@@ -173,6 +184,7 @@
 		maps.Copy(c.retired, c.doc.Services)
 	}
 	c.doc = doc
+	c.emit(&Adopted{Document: doc})
 	for _, s := range c.links {
 		s.message().Config = doc
 	}
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -13,7 +13,7 @@
 // demand describes the waiting tasks to one agent: its part of them, if they
 // were spread over the given number of agents, and at most as many as it has
 // slots. All agents together are then asked for about what is needed.
-func (p *pool) demand(now time.Time, agents int, slots uint32) structs.Demand {
+func (p *pool) demand(now time.Time, agents int, slots uint32, share func(structs.Needs) int) structs.Demand {
 	d := structs.Demand{}
 	for _, l := range p.ordered {
 		if l.waiting == 0 {
@@ -21,9 +21,9 @@
 		}
 		d.HeadAge = max(d.HeadAge, now.Sub(l.first().queuedAt))
 		if l.long {
-			d.Long += uint32(l.waiting)
+			d.Long += uint32(l.waiting * share(l.needs))
 		} else {
-			d.Short += uint32(l.waiting)
+			d.Short += uint32(l.waiting * share(l.needs))
 		}
 	}
 	d.Short = min(partOf(d.Short, agents), slots)
@@ -65,13 +65,13 @@
 	for _, s := range p.sessions {
 		outstanding += s.demanded.Short + s.demanded.Long
 	}
-	budget := uint32(float64(p.waiting) * (1 + age.Seconds()/c.tuning.DemandSpread.Seconds()))
+	budget := uint32(float64(p.slotsWaiting()) * (1 + age.Seconds()/c.tuning.DemandSpread.Seconds()))
 	for _, s := range p.sessions {
 		if outstanding >= budget {
 			return
 		}
 		if s.askable() && c.demandIsStale(s, age) {
-			c.ask(s, p.demand(c.now, agents, s.slots))
+			c.ask(s, p.demand(c.now, agents, s.slots, s.share))
 			outstanding += s.demanded.Short + s.demanded.Long
 		}
 	}
@@ -79,7 +79,7 @@
 
 // askIdle asks for credits that other entries hold unused.
 func (c *Core) askIdle(p *pool) {
-	need := uint32(p.waiting)
+	need := uint32(p.slotsWaiting())
 	for _, s := range p.sessions {
 		if need == 0 {
 			return
@@ -90,14 +90,14 @@
 		asked := min(need, s.idle)
 		need -= asked
 		s.idle = 0
-		c.ask(s, p.demand(c.now, 1, asked))
+		c.ask(s, p.demand(c.now, 1, asked, s.share))
 	}
 }
 
 // renewDemand adds the demand to a message that leaves in any case, unless the
 // agent knows already that nothing waits.
 func (c *Core) renewDemand(s *session, agents int) {
-	d := s.pool.demand(c.now, agents, s.slots)
+	d := s.pool.demand(c.now, agents, s.slots, s.share)
 	if d != (structs.Demand{}) || s.demanded != (structs.Demand{}) {
 		c.ask(s, d)
 	}
@@ -113,6 +113,23 @@
 	return since >= demandRefresh && age >= 2*s.demanded.HeadAge
 }
 
+// share returns the slots that a task takes at a typical worker of the pool.
+func (p *pool) share(needs structs.Needs) int {
+	if len(p.sessions) == 0 {
+		return 1
+	}
+	return p.sessions[0].share(needs)
+}
+
+// slotsWaiting returns the slots that the waiting tasks would take.
+func (p *pool) slotsWaiting() int {
+	slots := 0
+	for _, l := range p.ordered {
+		slots += l.waiting * p.share(l.needs)
+	}
+	return slots
+}
+
 // askableAgents counts the agents that may be sent a demand.
 func (p *pool) askableAgents() int {
 	n := 0
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -18,9 +18,10 @@
 // grantWaiting hands waiting tasks to workers for as long as there are both
 // tasks and credits that fit.
 func (c *Core) grantWaiting(p *pool) {
-	if p.waiting == 0 {
+	if p.waiting == 0 || c.now.Before(c.resumeAt) {
 		return
 	}
+	defer p.dropEmptyLanes()
 	blocked := map[*lane]bool{}
 	for {
 		l := c.nextLane(p, blocked)
@@ -59,7 +60,7 @@
 	if late := c.overdue(l); late != c.overdue(other) {
 		return late
 	}
-	return l.before(other, c.aged)
+	return l.before(other, c.now, c.aged)
 }
 
 const (
@@ -71,7 +72,11 @@
 	agedShare = 0.1
 )
 
-func (c *Core) overdue(l *lane) bool { return c.waited(l) > c.overdueAge(l.service) }
+// overdue reports whether a lane's first task is about to miss its start
+// objective. Jobs with a response objective have their own order.
+func (c *Core) overdue(l *lane) bool {
+	return !l.first().job.timed() && c.waited(l) > c.overdueAge(l.service)
+}
 
 func (c *Core) aged(l *lane) bool {
 	return c.waited(l).Seconds() > agedShare*c.objective(l.service).Seconds()
@@ -105,31 +110,39 @@
 	return true
 }
 
-// place returns the fastest worker with a credit for the task, or nil.
+// place returns the fastest worker with credits for the task, or nil. The
+// worker where the task failed is the last choice.
 func (p *pool) place(t *task) *session {
+	var avoided *session
 	for _, s := range p.sessions {
-		if s.accepts(t) {
+		if !s.accepts(t) {
+			continue
+		}
+		if s != t.avoided {
 			return s
 		}
+		avoided = s
 	}
-	return nil
+	return avoided
 }
 
 func (s *session) accepts(t *task) bool {
 	if s.state != sessionStates.Up || s.health == healthStates.Probation || s.health == healthStates.Tried {
 		return false
 	}
-	if s.credits.any <= 0 && (t.lane.long || s.credits.short <= 0) {
+	if !t.needs.Fits(s.capacity) {
 		return false
 	}
-	return t.lane.needs.Fits(s.capacity)
+	share := s.share(t.needs)
+	return s.credits.any >= share || (!t.lane.long && s.credits.short >= share)
 }
 
 // grant sends a task to a worker.
 func (c *Core) grant(t *task, s *session) {
 	t.lane.pop()
-	t.reserved = !t.lane.long && s.credits.short > 0
-	s.credits.add(t.reserved, -1)
+	t.reserved = !t.lane.long && s.credits.short >= s.share(t.needs)
+	t.slots = s.share(t.needs)
+	s.credits.add(t.reserved, -t.slots)
 	c.waitingBytes -= len(t.payload)
 	c.accountStart(t)
 	c.fireTask(t, taskEvents.Grant, s, nil)
@@ -137,6 +150,6 @@
 	m := s.message()
 	m.Grants = append(m.Grants, structs.Grant{
 		ID: t.grantID(), Service: t.job.service, Kind: t.kind.name, Long: t.lane.long, Reserved: t.reserved,
-		Limit: c.serviceOf(t.job.service).TaskLimit.Duration(), Payload: t.payload,
+		Slots: uint32(t.slots), Name: t.name, Limit: c.serviceOf(t.job.service).TaskLimit.Duration(), Payload: t.payload,
 	})
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -28,10 +28,27 @@
 	delivered bool
 	// late says that a task started after the service's objective.
 	late bool
+	// ran says that a task that waits again may have run before.
+	ran bool
+	// deadline is the end of the job's lifetime on the steady clock.
+	deadline time.Time
+	// name is the caller's own name of a job whose one caller waits for it;
+	// such a job ends when the caller leaves.
+	name     string
+	attached bool
+	// startBy is when the longest chain of tasks has to start for the response
+	// objective; zero means that there is none. startLatest is when it has to
+	// start to end before the deadline.
+	startBy     time.Time
+	startLatest time.Time
+	steps       []step
 }
 
 // untouched reports whether no task of the job may have started.
 func (j *job) untouched() bool {
+	if j.ran {
+		return false
+	}
 	for i := range j.tasks {
 		if j.tasks[i].state != taskStates.Waiting {
 			return false
@@ -45,6 +62,9 @@
 	if j.untouched() {
 		return failure.NotRun
 	}
+	if j.ran {
+		return failure.Ran
+	}
 	for i := range j.tasks {
 		s := j.tasks[i].state
 		if s == taskStates.Done || s == taskStates.Failed {
@@ -77,7 +97,7 @@
 	j := &job{
 		id:    structs.JobID{Owner: c.self.Incarnation, Seq: c.lastSeq, Expiry: expiry.UnixMilli()},
 		team:  team,
-		state: jobChart.Initial(), service: service,
+		state: jobChart.Initial(), service: service, deadline: expiry,
 	}
 	c.jobs[j.id.Seq] = j
 	heap.Push(&c.expiries, j)
@@ -166,6 +186,12 @@
 		return
 	}
 	delete(c.waiters, m.Reply)
+	if j.attached && len(j.waiters) == 1 {
+		j.waiters = nil
+		c.fireJob(j, jobEvents.Cancel, nil)
+		c.deliver(j, m.Reply)
+		return
+	}
 	for i, waiter := range j.waiters {
 		if waiter == m.Reply {
 			j.waiters = append(j.waiters[:i], j.waiters[i+1:]...)
@@ -216,6 +242,9 @@
 
 func (c *Core) jobEnded(j *job) {
 	c.undelivered++
+	if c.named[j.name] == j {
+		delete(c.named, j.name)
+	}
 	waiters := j.waiters
 	j.waiters = nil
 	for _, reply := range waiters {
@@ -234,6 +263,7 @@
 	for i := range j.tasks {
 		c.initTask(p, j, uint32(i), &m.Submission)
 	}
+	c.startSteps(p, j, &m.Submission)
 }
 
 func (c *Core) complete(j *job) {
@@ -287,7 +317,7 @@
 
 // expireJobs ends the jobs whose lifetime is over and forgets them.
 func (c *Core) expireJobs() {
-	for len(c.expiries) > 0 && c.expiries[0].id.Expiry <= c.now.UnixMilli() {
+	for len(c.expiries) > 0 && !c.now.Before(c.expiries[0].deadline) {
 		j := heap.Pop(&c.expiries).(*job)
 		c.fireJob(j, jobEvents.Expire, nil)
 		if !j.delivered {
@@ -301,7 +331,7 @@
 type expiryHeap []*job
 
 func (h expiryHeap) Len() int           { return len(h) }
-func (h expiryHeap) Less(i, k int) bool { return h[i].id.Expiry < h[k].id.Expiry }
+func (h expiryHeap) Less(i, k int) bool { return h[i].deadline.Before(h[k].deadline) }
 func (h expiryHeap) Swap(i, k int)      { h[i], h[k] = h[k], h[i] }
 
 // Push implements heap.Interface.
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -9,6 +9,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"cactuspost.example/internal/burn"
 	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
@@ -41,6 +43,32 @@
 	Wait       bool
 }
 
+// RunJob brings a job of a caller who waits for its end and keeps no id. The
+// effect is one Answered when the job ends, or Refused. AbandonReply ends the
+// job: nobody else waits for it.
+type RunJob struct {
+	Reply ReplyID
+	// Submission has no ID; its Name tells resubmissions from other jobs.
+	Submission structs.Submission
+	// Patience is how long the caller waits.
+	Patience time.Duration
+}
+
+// FindNamed asks for the open job of a RunJob by its name, and ends it if Cancel
+// is set. The effect is Answered, or Refused with the kind UnknownJob.
+type FindNamed struct {
+	Reply  ReplyID
+	Name   string
+	Cancel bool
+}
+
+// CountWaiting asks for the number of a service's jobs of which no task has
+// started. The effect is Counted.
+type CountWaiting struct {
+	Reply   ReplyID
+	Service string
+}
+
 // AwaitJob asks for a job's answer. The effects are those of SubmitJob.
 type AwaitJob struct {
 	Reply ReplyID
@@ -93,6 +121,9 @@
 
 func (*CreateJobs) isMessage()   {}
 func (*SubmitJob) isMessage()    {}
+func (*RunJob) isMessage()       {}
+func (*FindNamed) isMessage()    {}
+func (*CountWaiting) isMessage() {}
 func (*AwaitJob) isMessage()     {}
 func (*CancelJob) isMessage()    {}
 func (*AbandonReply) isMessage() {}
@@ -119,6 +150,12 @@
 	Answer structs.Answer
 }
 
+// Counted answers CountWaiting.
+type Counted struct {
+	Reply ReplyID
+	Jobs  int
+}
+
 // Refused tells a caller that its request was not carried out.
 type Refused struct {
 	Reply   ReplyID
@@ -142,6 +179,9 @@
 	Detail   string
 }
 
+// Adopted says that a document is in force from now on.
+type Adopted struct{ Document *structs.Document }
+
 // Drained says that the planned stop is done.
 type Drained struct{}
 
@@ -159,10 +199,12 @@
 
 func (*Created) isEffect()   {}
 func (*Answered) isEffect()  {}
+func (*Counted) isEffect()   {}
 func (*Refused) isEffect()   {}
 func (*Send) isEffect()      {}
 func (*CloseLink) isEffect() {}
 func (*Happened) isEffect()  {}
+func (*Adopted) isEffect()   {}
 func (*Drained) isEffect()   {}
 func (*Inspected) isEffect() {}
 func (*Accounted) isEffect() {}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -23,6 +23,8 @@
 	virtual float64
 	waiting int
 	running int
+	// busy is the number of slots of the running tasks.
+	busy int
 	// longRunning counts the running tasks of long kinds.
 	longRunning int
 	// failures is the smoothed share of failed tasks over all workers.
@@ -88,6 +90,18 @@
 	return l
 }
 
+// dropEmptyLanes forgets the lanes without waiting tasks: needs may differ from
+// job to job, and each combination has a lane of its own.
+func (p *pool) dropEmptyLanes() {
+	p.ordered = slices.DeleteFunc(p.ordered, func(l *lane) bool {
+		if l.waiting > 0 {
+			return false
+		}
+		delete(p.lanes, l.laneKey)
+		return true
+	})
+}
+
 func (l *lane) pushBack(t *task) {
 	l.tasks = append(l.tasks, t)
 	l.joined(t)
@@ -192,10 +206,13 @@
 }
 
 // before decides between two lanes by their teams' shares, then by class and age.
-func (l *lane) before(other *lane, aged func(*lane) bool) bool {
+func (l *lane) before(other *lane, now time.Time, aged func(*lane) bool) bool {
 	if l.account != other.account {
 		return l.account.virtual < other.account.virtual
 	}
+	if l.first().job.timed() && other.first().job.timed() {
+		return l.first().job.urgent(other.first().job, now)
+	}
 	if l.long != other.long {
 		late := l
 		if other.long {
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "cactuspost.example/internal/structs"
+import (
+	"time"
+
+	"cactuspost.example/internal/structs"
+)
 
 func (c *Core) takeResults(s *session, results []structs.Result) {
 	for i := range results {
@@ -30,8 +34,10 @@
 
 // learn corrects the team's account and what is known of kind and worker.
 func (c *Core) learn(s *session, t *task, r *structs.Result) {
-	t.payload = nil // it won't be granted again
-	t.lane.adjust(r.RunTime - t.cost)
+	if r.Outcome == structs.Succeeded || !c.mayRepeat(t, r) {
+		t.payload = nil // it won't be granted again
+	}
+	t.lane.adjust(r.RunTime*time.Duration(t.slots) - t.cost)
 	switch r.Outcome {
 	case structs.Succeeded:
 		c.accountResult(s, t, r)
@@ -58,13 +64,17 @@
 }
 
 func (c *Core) takeRefusal(s *session, t *task, reason structs.RefusalReason) {
-	if reason == structs.EndpointUnreached {
+	switch reason {
+	case structs.EndpointUnreached:
+		t.avoided = s
 		c.fireHealth(s, healthEvents.Failed)
-		return
+	case structs.EndpointFull:
+		c.fireHealth(s, healthEvents.Returned)
+	default:
+		// The agent counted no credit for a grant that it refused on arrival.
+		s.credits.add(t.reserved, t.slots)
+		c.fireHealth(s, healthEvents.Returned)
 	}
-	// The agent counted no credit for a grant that it refused on arrival.
-	s.credits.add(t.reserved, 1)
-	c.fireHealth(s, healthEvents.Returned)
 }
 
 func (c *Core) takeCredits(s *session, m *structs.FromAgent) {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -20,8 +20,10 @@
 	dataCentre string
 	capacity   structs.Needs
 	slots      uint32
-	pool       *pool
-	state      chart.State
+	// divided says that slots are equal shares of the capacity.
+	divided bool
+	pool    *pool
+	state   chart.State
 	// link is zero while the agent isn't connected.
 	link LinkID
 	// released says that a leaving agent was told that it may go.
@@ -129,7 +131,7 @@
 	p := c.pool(hello.Pool)
 	s := &session{
 		endpoint: hello.Endpoint, incarnation: hello.Incarnation, memory: hello.Session, dataCentre: hello.DataCentre,
-		capacity: hello.Capacity, slots: hello.Slots, pool: p,
+		capacity: hello.Capacity, slots: hello.Slots, divided: hello.Divided, pool: p,
 		state: sessionChart.Initial(), health: healthChart.Initial(),
 		granted: map[structs.GrantID]*task{},
 		// Workers that nothing is known of stand in a random order.
@@ -240,9 +242,24 @@
 	}
 }
 
+// share returns the number of the worker's slots that a task takes.
+func (s *session) share(needs structs.Needs) int {
+	if !s.divided {
+		return 1
+	}
+	return int(needs.Share(s.capacity, s.slots))
+}
+
 // reconcile applies the agent's list of the grants that it has started. The
-// agent says that it has not started the others and never will.
+// agent says that it has not started the others and never will. Grants of this
+// entry that it has given up may run elsewhere by now, so they are stopped.
 func (c *Core) reconcile(s *session, held []structs.GrantID) {
+	for _, id := range held {
+		if id.Owner == c.self.Incarnation && s.granted[id] == nil {
+			m := s.message()
+			m.Cancels = append(m.Cancels, id)
+		}
+	}
 	for _, t := range s.grantedTasks() {
 		if slices.Contains(held, t.grantID()) {
 			c.fireTask(t, taskEvents.Listed, nil, nil)
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"encoding/binary"
 	"time"
 
@@ -22,6 +23,15 @@
 	// task stands in its lane.
 	reserved bool
 	queued   bool
+	// slots is the number of credits of the present grant.
+	slots int
+	// errors counts the runs that ended with an error of their own, avoided is
+	// the worker of the last of them.
+	errors   int
+	avoided  *session
+	needs    structs.Needs
+	name     string
+	step     int
 	kind     *kind
 	lane     *lane
 	holder   *session
@@ -44,14 +54,56 @@
 	t.kind = c.kind(j.service, spec.Kind)
 	t.payload = spec.Payload
 	t.declared = spec.Declared
+	t.name = spec.Name
+	t.step = spec.Step
+	t.needs = cmp.Or(spec.Needs, s.Needs)
 	t.queuedAt = c.now
-	t.cost = c.estimate(t.kind, spec.Declared)
-	t.lane = p.lane(laneKey{team: j.team, service: j.service, needs: s.Needs, long: c.isLong(t.kind, spec.Declared)})
-	t.lane.weight = c.weight(j.team, j.service)
+	t.cost = c.estimate(t.kind, spec.Declared) * time.Duration(p.share(t.needs))
+	t.lane = p.lane(c.laneKey(t))
+}
+
+func (c *Core) laneKey(t *task) laneKey {
+	return laneKey{team: t.job.team, service: t.job.service, needs: t.needs, long: c.isLong(t.kind, t.declared)}
+}
+
+// enqueue puts a task at the end of its lane.
+func (c *Core) enqueue(p *pool, t *task) {
+	t.lane = p.lane(c.laneKey(t))
+	t.lane.weight = c.weight(t.job.team, t.job.service)
 	t.lane.pushBack(t)
 	c.waitingBytes += len(t.payload)
 }
 
+// mayRepeat reports whether a task whose run ended without a result may run
+// again: its own errors are counted, a run that was lost or stopped is not.
+func (c *Core) mayRepeat(t *task, r *structs.Result) bool {
+	service := c.serviceOf(t.job.service)
+	switch r.Outcome {
+	case structs.Errored:
+		return t.errors+1 < service.MaxAttempts
+	case structs.Lost, structs.Stopped:
+		return service.Repeatable
+	default:
+		return false
+	}
+}
+
+// countError notes the end of a run without a result and the worker where it
+// occurred. There is no agent's report of a run that is lost.
+func (t *task) countError(r *structs.Result) {
+	t.avoided = t.holder
+	t.job.ran = true
+	if r != nil && r.Outcome == structs.Errored {
+		t.errors++
+	}
+}
+
+func (t *task) leaveQueue() {
+	if t.queued {
+		t.lane.leave(t)
+	}
+}
+
 func (t *task) grantID() structs.GrantID {
 	return structs.GrantID{Owner: t.job.id.Owner, Job: t.job.id.Seq, Task: t.index, Attempt: t.attempt}
 }
@@ -70,6 +122,7 @@
 	case taskStates.Done:
 		c.stats.TasksDone++
 		t.job.done++
+		c.stepDone(t)
 		c.fireJob(t.job, jobEvents.TaskDone, nil)
 	case taskStates.Failed:
 		c.stats.TasksFailed++
@@ -83,6 +136,7 @@
 	t.grantedAt = c.now
 	holder.granted[t.grantID()] = t
 	holder.pool.running++
+	holder.pool.busy += t.slots
 	t.countLong(1)
 	t.lane.charge(t.cost)
 	c.stats.TasksGranted++
@@ -94,6 +148,7 @@
 func (c *Core) releaseGrant(t *task) {
 	delete(t.holder.granted, t.grantID())
 	t.holder.pool.running--
+	t.holder.pool.busy -= t.slots
 	t.countLong(-1)
 	t.holder = nil
 }
@@ -106,6 +161,8 @@
 
 func (c *Core) requeue(t *task) {
 	t.lane.adjust(-t.cost)
+	t.lane = t.lane.pool.lane(t.lane.laneKey)
+	t.lane.weight = c.weight(t.lane.team, t.lane.service)
 	t.lane.pushFront(t)
 	c.waitingBytes += len(t.payload)
 }
--- a/internal/entryd/calls.go
+++ b/internal/entryd/calls.go
@@ -29,21 +29,46 @@
 // message is not sent and the answer is a refusal whose outcome is whenFull: a
 // message about a job that may have been sent before must not be called not run.
 func (c *calls) ask(build builder, wait time.Duration, whenFull failure.Run) dispatch.Effect {
-	id := dispatch.ReplyID(c.last.Add(1))
-	answer := make(chan dispatch.Effect, 1)
-	if !c.inbox.TrySend(&call{reply: id, answer: answer, message: build(id)}) {
-		f := failure.New(failure.Overloaded, whenFull, "too many requests wait at this entry").WithRetry(retryWhenFull)
-		return &dispatch.Refused{Reply: id, Failure: f}
+	id, answer, refusal := c.send(build, whenFull)
+	if refusal != nil {
+		return refusal
 	}
 	if wait <= 0 {
 		return c.await(id, answer)
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	return c.awaitUntil(id, answer, timer.C)
+}
+
+// askUntil passes a message on and waits for its answer until over yields a
+// value or is closed; nil means that the answer is waited for.
+func (c *calls) askUntil(build builder, over <-chan time.Time) dispatch.Effect {
+	id, answer, refusal := c.send(build, failure.NotRun)
+	if refusal != nil {
+		return refusal
+	}
+	return c.awaitUntil(id, answer, over)
+}
+
+// send passes a message on, or returns a refusal if there is no room for it.
+func (c *calls) send(build builder, whenFull failure.Run) (dispatch.ReplyID, <-chan dispatch.Effect, dispatch.Effect) {
+	id := dispatch.ReplyID(c.last.Add(1))
+	answer := make(chan dispatch.Effect, 1)
+	if !c.inbox.TrySend(&call{reply: id, answer: answer, message: build(id)}) {
+		f := failure.New(failure.Overloaded, whenFull, "too many requests wait at this entry").WithRetry(retryWhenFull)
+		return id, nil, &dispatch.Refused{Reply: id, Failure: f}
+	}
+	return id, answer, nil
+}
+
+// awaitUntil waits for the answer, and gives the wait up when over yields a
+// value or is closed.
+func (c *calls) awaitUntil(id dispatch.ReplyID, answer <-chan dispatch.Effect, over <-chan time.Time) dispatch.Effect {
 	select {
 	case effect := <-answer:
 		return effect
-	case <-timer.C:
+	case <-over:
 		c.inbox.Send(&input{message: &dispatch.AbandonReply{Reply: id}})
 	case <-c.inbox.Done():
 	}
--- a/internal/entryd/config.go
+++ b/internal/entryd/config.go
@@ -60,11 +60,16 @@
 	Report Hook
 	// NewCore makes the dispatcher; nil makes the product's own.
 	NewCore func(self structs.Peer, seed uint64) Core
-	Log     *logging.Logger
+	// NewIngress starts a further front end; nil means that there is none.
+	NewIngress func(*Gateway) (Ingress, error)
+	Log        *logging.Logger
 	// MaxLinks bounds the connections from agents; 0 means 8192.
 	MaxLinks int
 	// Heartbeat is the heartbeat period of links; 0 means one second.
 	Heartbeat time.Duration
+	// SilentBeats is the number of heartbeat periods without a frame after which
+	// a link is closed; 0 means five.
+	SilentBeats int
 }
 
 // withDefaults fills in what the caller left out.
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -81,6 +81,8 @@
 type readiness struct {
 	// configured is set when a revision is in force.
 	configured bool
+	// serving is set while at least one worker is connected.
+	serving bool
 	// leaving is set from the start of the planned stop.
 	leaving bool
 }
@@ -96,6 +98,8 @@
 	links   map[dispatch.LinkID]*link
 	state   readiness
 	drained chan<- struct{}
+	// gateway is nil if nobody needs the document.
+	gateway *Gateway
 	// active is set when a message has come since the last wake, armed while a
 	// wake is under way.
 	active bool
@@ -138,13 +142,14 @@
 		a.callers[m.reply] = m.answer
 		a.core.Step(now, m.message)
 	case *input:
-		a.note(m.message)
 		a.core.Step(now, m.message)
 	case *linkHello:
 		a.links[m.link.id] = m.link
+		a.state.serving = true
 		a.core.Step(now, &dispatch.AgentMessage{Link: m.link.id, Message: m.hello})
 	case *linkEnded:
 		delete(a.links, m.id)
+		a.state.serving = len(a.links) > 0
 		a.core.Step(now, &dispatch.LinkClosed{Link: m.id})
 	case *probe:
 		m.answer <- a.state
@@ -153,10 +158,11 @@
 	}
 }
 
-// note keeps what readiness depends on.
-func (a *coreActor) note(m dispatch.Message) {
-	if c, ok := m.(*dispatch.Configure); ok && c.Document.Revision > 0 {
-		a.state.configured = true
+// adopted publishes the document in force.
+func (a *coreActor) adopted(document *structs.Document) {
+	a.state.configured = true
+	if a.gateway != nil {
+		a.gateway.document.Store(document)
 	}
 }
 
@@ -192,6 +198,8 @@
 		a.answer(e.Reply, e)
 	case *dispatch.Refused:
 		a.answer(e.Reply, e)
+	case *dispatch.Counted:
+		a.answer(e.Reply, e)
 	case *dispatch.Inspected:
 		a.answer(e.Reply, e)
 	case *dispatch.Accounted:
@@ -200,6 +208,8 @@
 		a.send(e)
 	case *dispatch.CloseLink:
 		a.closeLink(e.Link)
+	case *dispatch.Adopted:
+		a.adopted(e.Document)
 	case *dispatch.Happened:
 		a.report(e)
 	case *dispatch.Drained:
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -37,6 +37,8 @@
 	parts    *parts
 	shutdown *shutdown
 	done     chan struct{}
+	// cancel ends everything at once.
+	cancel context.CancelFunc
 }
 
 // parts are the running parts of a daemon.
@@ -50,6 +52,9 @@
 	peerClient *peer.Client
 	// platform is nil if the entry has no table.
 	platform *platform
+	gateway  *Gateway
+	// ingress is nil if the entry has no further front end.
+	ingress Ingress
 }
 
 // listeners are the bound addresses of a daemon that is about to start.
@@ -90,6 +95,7 @@
 		limit:   config.MaxLinks,
 		loops:   defaultLoops,
 		period:  config.Heartbeat,
+		silent:  config.SilentBeats,
 	}, p.core, config.Log)
 	if err != nil {
 		bound.close()
@@ -100,7 +106,15 @@
 		_ = p.links.stop(ctx)
 		return nil, err
 	}
-	return run(ctx, &config, bound, p), nil
+	d := run(ctx, &config, bound, p)
+	if config.NewIngress != nil {
+		if p.ingress, err = config.NewIngress(p.gateway); err != nil {
+			d.cancel()
+			<-d.done
+			return nil, err
+		}
+	}
+	return d, nil
 }
 
 func listen(config *Config) (*listeners, error) {
@@ -136,11 +150,13 @@
 
 // run starts the actors and the servers.
 func run(ctx context.Context, config *Config, bound *listeners, p *parts) *Daemon {
+	ctx, cancel := context.WithCancel(ctx)
 	self := config.Self
 	calls := &calls{inbox: p.core}
+	p.gateway = &Gateway{calls: calls}
 	jobs := &jobs{self: self.Incarnation, calls: calls, peers: p.peers}
 	cluster := &cluster{calls: calls, peers: p.peers}
-	d := &Daemon{self: self, parts: p, done: make(chan struct{})}
+	d := &Daemon{self: self, parts: p, done: make(chan struct{}), cancel: cancel}
 	p.platform = newPlatform(config, d)
 	if p.platform != nil && config.Notes == nil {
 		config.Notes = (&notes{inbox: p.platform.notes, store: config.Store, cluster: cluster, log: config.Log}).serve
@@ -162,6 +178,7 @@
 	}
 	d.shutdown = newShutdown(ctx, p, config)
 	coreActor := newCoreActor(config.NewCore(self, config.Seed), p.core, config.Log, p.drained)
+	coreActor.gateway = p.gateway
 	peersActor := &peersActor{ctx: ctx, self: self.Incarnation, asker: p.peerClient, log: config.Log, inbox: p.peers}
 	go actor.Run(ctx, p.core, idlePeriod, coreActor)
 	go actor.Run(ctx, p.peers, peersPeriod, peersActor)
@@ -186,6 +203,7 @@
 // run leads the planned stop, or ends everything when the context does.
 func (d *Daemon) run(ctx context.Context) {
 	defer close(d.done)
+	defer d.cancel()
 	actor.Run(ctx, d.shutdown.inbox, shutdownPeriod, d.shutdown)
 	if ctx.Err() != nil {
 		_ = d.parts.front.shutdown(ctx)
--- a/internal/entryd/link.go
+++ b/internal/entryd/link.go
@@ -1,6 +1,7 @@
 package entryd
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -64,7 +65,7 @@
 
 var connectionBindings = chart.Bindings[*link]{
 	Guards: map[string]func(*link) bool{
-		"silent":      func(l *link) bool { return l.quietBeats >= silentBeats-1 },
+		"silent":      func(l *link) bool { return l.quietBeats >= cmp.Or(l.server.options.silent, silentBeats)-1 },
 		"sent_lately": func(l *link) bool { return l.sentLately },
 		"nothing_new": func(l *link) bool { return l.received.Idle == l.lastIdle && l.received.Revision == l.lastRevision },
 		"introduced":  func(l *link) bool { return l.introduced },
--- a/internal/entryd/links.go
+++ b/internal/entryd/links.go
@@ -25,8 +25,10 @@
 	limit int
 	// loops is the number of event loops.
 	loops int
-	// period is the heartbeat period.
+	// period is the heartbeat period, silent the number of periods without a
+	// frame after which a link is closed; zero means silentBeats.
 	period time.Duration
+	silent int
 }
 
 // linkServer accepts the agents' connections. Its event loops only cut the
--- a/internal/entryd/shutdown.go
+++ b/internal/entryd/shutdown.go
@@ -93,6 +93,9 @@
 	s.log.Event(event.StopRequested)
 	s.parts.core.Send(dropReadiness{})
 	s.parts.front.leave()
+	if s.parts.ingress != nil {
+		s.parts.ingress.Leave()
+	}
 }
 
 func (s *shutdown) startSettling() {
@@ -137,7 +140,14 @@
 }
 
 func (s *shutdown) closeCallers() {
-	s.after(shutdownEvents.CallersDone, func() error { return s.parts.front.shutdown(s.bound) })
+	s.after(shutdownEvents.CallersDone, func() error {
+		if s.parts.ingress != nil {
+			if err := s.parts.ingress.Shutdown(s.bound); err != nil {
+				s.log.Event(event.ActorFailed, zap.String("part", "ingress"), errorField(err))
+			}
+		}
+		return s.parts.front.shutdown(s.bound)
+	})
 }
 
 func (s *shutdown) deregister() {
--- a/internal/event/agent.go
+++ b/internal/event/agent.go
@@ -17,6 +17,13 @@
 	NetworkFault      ID = 2027
 	EndpointUp        ID = 2030
 	EndpointDown      ID = 2031
+	RunEnded          ID = 2040
+	RunFailed         ID = 2041
+	WorkerOver        ID = 2042
+	WorkerAnnounced   ID = 2043
+	AnnouncementStale ID = 2044
+	AgentNotStarted   ID = 2045
+	BadAnnouncement   ID = 2046
 )
 
 var agentEvents = []Description{
@@ -35,4 +42,11 @@
 	{NetworkFault, Warning, "network fault", "The network library of the links reports an error; the field has its text.", "Look at the network and the limits of open files, if it repeats."},
 	{EndpointUp, Info, "endpoint up", "The endpoint answers health checks; its slots are offered.", "None."},
 	{EndpointDown, Warning, "endpoint down", "The endpoint does not answer health checks; its slots are not offered.", "Check the endpoint on this worker."},
+	{RunEnded, Info, "run ended", "A task is done.", "None."},
+	{RunFailed, Warning, "run failed", "A run ended without a result, or was never started; the fields say how.", "Look at the worker if it repeats."},
+	{WorkerOver, Warning, "worker over", "Another life of the worker answers, or another agent serves it; this agent ends and a new one takes over.", "Look for crashes of the worker if it repeats."},
+	{WorkerAnnounced, Info, "worker announced", "A worker began a life, or said that it is leaving.", "None."},
+	{AnnouncementStale, Info, "announcement stale", "An announcement of the worker came later than a newer one and was not used.", "None."},
+	{BadAnnouncement, Warning, "bad announcement", "A heartbeat was not one of the worker on this machine, or could not be read; it was refused.", "Look for who else sends heartbeats to this address."},
+	{AgentNotStarted, Fault, "agent not started", "The agent for a worker could not be started.", "See the field error."},
 }
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -12,6 +12,8 @@
 	ExpiredInstanceRemoved ID = 3008
 	BadInstanceRow         ID = 3009
 	PeersChanged           ID = 3010
+	HistoryLost            ID = 3011
+	RegistrationFailed     ID = 3012
 	ConfigurationAdopted   ID = 3020
 	ConfigurationBehind    ID = 3021
 	BadConfigurationRow    ID = 3022
@@ -33,6 +35,8 @@
 	{ExpiredInstanceRemoved, Info, "expired instance removed", "The row of an instance that ended long ago was removed.", "None."},
 	{BadInstanceRow, Fault, "bad instance row", "A row under instances/ is not valid and is left out of the list.", "Look for who else writes to the table; remove the row."},
 	{PeersChanged, Info, "peers changed", "The list of live instances changed.", "None."},
+	{HistoryLost, Info, "history lost", "The store no longer has the changes that were asked for; all rows are read again.", "None."},
+	{RegistrationFailed, Warning, "registration failed", "This instance's row could not be written; it is tried again.", "Check the platform's store if it repeats."},
 	{ConfigurationAdopted, Info, "configuration adopted", "A higher revision of the configuration is in force at this instance.", "None."},
 	{ConfigurationBehind, Fault, "configuration behind", "The table has a lower revision than the one in force here, which stays in force.", "Find out who restored or rewrote the table."},
 	{BadConfigurationRow, Fault, "bad configuration row", "The row of the configuration is not valid; the last known revision stays in force.", "Look for who else writes to the table."},
--- /dev/null
+++ b/internal/follow/members.go
@@ -0,0 +1,120 @@
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/logging"
+	"cactuspost.example/internal/structs"
+)
+
+// MembersTable is the table of the entries' registrations.
+const MembersTable = "entries"
+
+const (
+	// writeTimeout bounds one attempt to write a registration.
+	writeTimeout = 1500 * time.Millisecond
+	// writeRetry is the pause after a failed attempt.
+	writeRetry = 500 * time.Millisecond
+)
+
+// Registrations is a store in which an entry writes its own row.
+type Registrations interface {
+	Feed
+	// Put writes a row, whatever it was before.
+	Put(ctx context.Context, table, key string, value []byte) error
+	// Remove deletes a row if it is there.
+	Remove(ctx context.Context, table, key string) error
+}
+
+// Members keeps this entry's registration and follows those of the others. A
+// registration is no sign of life: links tell who lives. A later life of an
+// entry replaces the row of the earlier one.
+type Members struct {
+	store Registrations
+	self  structs.Peer
+	log   *logging.Logger
+	peers func([]structs.Peer)
+	known map[string]structs.Peer
+	wait  time.Duration
+}
+
+// NewMembers returns the registration of an entry. Peers gets each new list of
+// entries, this one included, on one goroutine. Wait is that of Options.
+func NewMembers(store Registrations, self structs.Peer, wait time.Duration, peers func([]structs.Peer), log *logging.Logger) *Members {
+	return &Members{store: store, self: self, wait: wait, peers: peers, log: log, known: map[string]structs.Peer{}}
+}
+
+// Run registers the entry and follows the others until the context ends.
+func (m *Members) Run(ctx context.Context) {
+	go m.register(ctx)
+	New(Options{Feed: m.store, Table: MembersTable, Wait: m.wait, Rows: m.take, Log: m.log}).Run(ctx)
+}
+
+// Leave removes the registration. Without an answer the row stays: agents then
+// dial an address where nobody listens, until the next life replaces the row.
+func (m *Members) Leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := m.store.Remove(ctx, MembersTable, m.self.Name); err != nil {
+		m.log.Event(event.RegistrationKept, zap.String("error", err.Error()))
+		return
+	}
+	m.log.Event(event.RegistrationRemoved)
+}
+
+// register writes the row until the store has taken it.
+func (m *Members) register(ctx context.Context) {
+	value, err := json.Marshal(m.self)
+	if err != nil {
+		m.log.Event(event.RegistrationFailed, zap.String("error", err.Error()))
+		return
+	}
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, writeTimeout)
+		err := m.store.Put(call, MembersTable, m.self.Name, value)
+		cancel()
+		if err == nil {
+			m.log.Event(event.InstanceRegistered, zap.String("entry", m.self.Name))
+			return
+		}
+		m.log.Event(event.RegistrationFailed, zap.String("error", err.Error()))
+		select {
+		case <-time.After(writeRetry):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (m *Members) take(rows []Row, all bool) {
+	if all {
+		clear(m.known)
+	}
+	for _, row := range rows {
+		if row.Deleted {
+			delete(m.known, row.Key)
+			continue
+		}
+		var p structs.Peer
+		if err := json.Unmarshal(row.Value, &p); err != nil || p.LinkAddress == "" {
+			m.log.Event(event.BadInstanceRow, zap.String("table", MembersTable), zap.String("key", row.Key))
+			continue
+		}
+		m.known[row.Key] = p
+	}
+	m.known[m.self.Name] = m.self
+	peers := slices.Collect(maps.Values(m.known))
+	slices.SortFunc(peers, func(a, b structs.Peer) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	m.peers(peers)
+}
--- /dev/null
+++ b/internal/ingress/parse.go
@@ -0,0 +1,55 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+var headerEnd = []byte("\r\n\r\n")
+
+// defaultHeaderBytes bounds headers while no limit is known.
+const defaultHeaderBytes = 16 << 10
+
+// parse reads a request from the beginning of the buffer. It returns the size
+// and the request if it is whole, a status if the bytes are no request or one
+// over the limits, and neither while more bytes are needed.
+func parse(buffered []byte, limits Limits) (int, *fasthttp.Request, int) {
+	headerBytes := limits.HeaderBytes
+	if headerBytes <= 0 {
+		headerBytes = defaultHeaderBytes
+	}
+	end := bytes.Index(buffered, headerEnd)
+	if end > headerBytes || (end < 0 && len(buffered) > headerBytes) {
+		return 0, nil, fasthttp.StatusRequestHeaderFieldsTooLarge
+	}
+	if end < 0 {
+		return 0, nil, 0
+	}
+	source := bytes.NewReader(buffered)
+	reader := bufio.NewReaderSize(source, max(end+len(headerEnd), minReader))
+	request := &fasthttp.Request{}
+	if err := request.Header.Read(reader); err != nil {
+		return 0, nil, fasthttp.StatusBadRequest
+	}
+	if limits.BodyBytes > 0 && request.Header.ContentLength() > limits.BodyBytes {
+		return 0, nil, fasthttp.StatusRequestEntityTooLarge
+	}
+	err := request.ContinueReadBody(reader, limits.BodyBytes, false)
+	switch {
+	case err == nil:
+		return len(buffered) - source.Len() - reader.Buffered(), request, 0
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return 0, nil, fasthttp.StatusRequestEntityTooLarge
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+		return 0, nil, 0
+	default:
+		return 0, nil, fasthttp.StatusBadRequest
+	}
+}
+
+// minReader is the least buffer of the reader.
+const minReader = 4 << 10
--- a/internal/structs/config.go
+++ b/internal/structs/config.go
@@ -1,6 +1,9 @@
 package structs
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Millis is a duration in whole milliseconds, as it stands in documents.
 type Millis int64
@@ -14,6 +17,26 @@
 	Revision uint64             `json:"revision"`
 	Services map[string]Service `json:"services"`
 	Teams    map[string]Team    `json:"teams"`
+	// Routes lead requests of callers who name no service to one.
+	Routes []Route `json:"routes,omitempty"`
+	// Ingress bounds the requests of such callers.
+	Ingress Ingress `json:"ingress,omitzero"`
+}
+
+// Route leads the requests for a host whose path begins with Prefix to a
+// service. The longest prefix goes first.
+type Route struct {
+	Host    string `json:"host"`
+	Prefix  string `json:"prefix"`
+	Service string `json:"service"`
+}
+
+// Ingress bounds requests; zero means no bound of its own.
+type Ingress struct {
+	MaxHeaderBytes int    `json:"max_header_bytes"`
+	MaxBodyBytes   int    `json:"max_body_bytes"`
+	HeaderTimeout  Millis `json:"header_timeout_ms"`
+	IdleTimeout    Millis `json:"idle_timeout_ms"`
 }
 
 // Service is a kind of work that callers can submit.
@@ -36,6 +59,19 @@
 	// ShortReserve is the share of each worker's slots that long tasks may not
 	// occupy, 0 to 1.
 	ShortReserve float64 `json:"short_reserve"`
+	// Repeatable says that a task may run again when its outcome is unknown, as
+	// long as no two runs of it overlap.
+	Repeatable bool `json:"repeatable,omitempty"`
+	// MaxAttempts bounds the runs of a task that end with an error of its own;
+	// zero and one mean that the first one fails the job.
+	MaxAttempts int `json:"max_attempts,omitempty"`
+	// Priority orders the services of a pool; zero goes first.
+	Priority int `json:"priority,omitempty"`
+	// Stretch and Margin set the response objective of a job: Stretch times the
+	// run time of its longest chain of tasks, and Margin more. Without Stretch
+	// there is none.
+	Stretch float64 `json:"stretch,omitempty"`
+	Margin  Millis  `json:"margin_ms,omitempty"`
 }
 
 // Team is a group of callers.
@@ -58,3 +94,18 @@
 	PeerAddress string `json:"peer_address"`
 	HTTPAddress string `json:"http_address"`
 }
+
+// FindRoute returns the route of a request, or nil.
+func (d *Document) FindRoute(host, path string) *Route {
+	var best *Route
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		if r.Host != host || !strings.HasPrefix(path, r.Prefix) {
+			continue
+		}
+		if best == nil || len(r.Prefix) > len(best.Prefix) {
+			best = r
+		}
+	}
+	return best
+}
--- a/internal/structs/job.go
+++ b/internal/structs/job.go
@@ -14,27 +14,63 @@
 	// Declared is the caller's estimate of the run time; it is not trusted.
 	Declared time.Duration
 	Payload  []byte
+	// Name is what the endpoint knows the task by; it may be empty.
+	Name string
+	// Needs replace those of the submission if they are set.
+	Needs Needs
+	// Step is the index of the task's step in Submission.Steps.
+	Step int
 }
 
+// Step orders the tasks of a job: those of a step start when all tasks of the
+// steps in After have their results.
+type Step struct{ After []int }
+
 // Needs is what one task takes of a worker while it runs.
 type Needs struct {
+	// Cores are whole cores; Millicores are thousandths of a core beyond them.
 	Cores        uint32 `json:"cores"`
+	Millicores   uint32 `json:"millicores,omitempty"`
 	MemoryMB     uint32 `json:"memory_mb"`
 	Accelerators uint32 `json:"accelerators"`
 }
 
+// Processor returns the need for processors in thousandths of a core.
+func (n Needs) Processor() uint64 { return uint64(n.Cores)*1000 + uint64(n.Millicores) }
+
 // Fits reports whether a worker of the given capacity could ever run the task.
 func (n Needs) Fits(capacity Needs) bool {
-	return n.Cores <= capacity.Cores && n.MemoryMB <= capacity.MemoryMB && n.Accelerators <= capacity.Accelerators
+	return n.Processor() <= capacity.Processor() && n.MemoryMB <= capacity.MemoryMB && n.Accelerators <= capacity.Accelerators
+}
+
+// Share returns the number of slots that the needs take of a worker whose
+// capacity is divided into equal slots: the part of the scarcest resource,
+// rounded up. It is at least one.
+func (n Needs) Share(capacity Needs, slots uint32) uint32 {
+	share := uint64(1)
+	for _, r := range [...]struct{ need, have uint64 }{
+		{n.Processor(), capacity.Processor()},
+		{uint64(n.MemoryMB), uint64(capacity.MemoryMB)},
+		{uint64(n.Accelerators), uint64(capacity.Accelerators)},
+	} {
+		if r.need > 0 && r.have > 0 {
+			share = max(share, (r.need*uint64(slots)+r.have-1)/r.have)
+		}
+	}
+	return uint32(min(share, uint64(slots)))
 }
 
 // Submission is a job as its caller sends it.
 type Submission struct {
-	ID      JobID
+	ID JobID
+	// Name is the caller's own name of the job; it may be empty.
+	Name    string
 	Team    string
 	Service string
 	Needs   Needs
 	Tasks   []Task
+	// Steps is empty for a job whose tasks may all start at once.
+	Steps []Step
 }
 
 // JobState is what a caller can learn about a job.
--- a/internal/structs/link.go
+++ b/internal/structs/link.go
@@ -40,6 +40,9 @@
 	DataCentre string
 	Slots      uint32
 	Capacity   Needs
+	// Divided says that the slots are equal shares of the capacity, so that a
+	// task takes as many as its needs ask for; else each task takes one.
+	Divided bool
 	// Held lists the grants of this entry that the agent has started and whose
 	// results are not acknowledged. A grant that is not listed was not started
 	// and never will be.
@@ -84,6 +87,9 @@
 	// EndpointUnreached means that the grant used its credit, but the endpoint
 	// could not be reached and nothing was sent to it.
 	EndpointUnreached
+	// EndpointFull means that the grant used its credit, but the endpoint has no
+	// room for the task at the moment.
+	EndpointFull
 )
 
 // Refusal says that a grant was not started and never will be.
@@ -135,11 +141,18 @@
 	// Reserved says that the grant uses a Short credit; otherwise it uses an Any
 	// credit. Both sides count the classes apart, so the grant has to name it.
 	Reserved bool
+	// Slots is the number of credits that the grant uses; zero means one.
+	Slots uint32
+	// Name is what the endpoint knows the task by; it may be empty.
+	Name string
 	// Limit bounds the run time.
 	Limit   time.Duration
 	Payload []byte
 }
 
+// Credits returns the number of credits that the grant uses.
+func (g *Grant) Credits() int { return int(max(1, g.Slots)) }
+
 // Demand tells an agent how many tasks wait at the entry for it.
 type Demand struct {
 	Short uint32
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -140,7 +140,7 @@
 		g := &m.Grants[i]
 		pb.Grants = append(pb.Grants, &wirepb.Grant{
 			Id: grantIDToPB(g.ID), Service: g.Service, Kind: g.Kind, Long: g.Long, Reserved: g.Reserved,
-			LimitUs: g.Limit.Microseconds(), Payload: g.Payload,
+			LimitUs: g.Limit.Microseconds(), Payload: g.Payload, Slots: g.Slots, Name: g.Name,
 		})
 	}
 	if d := m.Demand; d != nil {
@@ -165,7 +165,7 @@
 	for _, g := range pb.Grants {
 		m.Grants = append(m.Grants, structs.Grant{
 			ID: grantIDFromPB(g.Id), Service: g.Service, Kind: g.Kind, Long: g.Long, Reserved: g.Reserved,
-			Limit: micros(g.LimitUs), Payload: g.Payload,
+			Limit: micros(g.LimitUs), Payload: g.Payload, Slots: g.Slots, Name: g.Name,
 		})
 	}
 	if d := pb.Demand; d != nil {
@@ -207,8 +207,11 @@
 	return &wirepb.Hello{
 		Endpoint: h.Endpoint, Incarnation: uint64(h.Incarnation), Pool: h.Pool, DataCentre: h.DataCentre,
 		Slots: h.Slots, Held: grantIDsToPB(h.Held), Leaving: h.Leaving,
-		Connection: h.Connection, Session: h.Session,
-		Capacity: &wirepb.Needs{Cores: h.Capacity.Cores, MemoryMb: h.Capacity.MemoryMB, Accelerators: h.Capacity.Accelerators},
+		Connection: h.Connection, Session: h.Session, Divided: h.Divided,
+		Capacity: &wirepb.Needs{
+			Cores: h.Capacity.Cores, Millicores: h.Capacity.Millicores,
+			MemoryMb: h.Capacity.MemoryMB, Accelerators: h.Capacity.Accelerators,
+		},
 	}
 }
 
@@ -217,8 +220,11 @@
 	return &structs.Hello{
 		Endpoint: pb.Endpoint, Incarnation: structs.Incarnation(pb.Incarnation), Pool: pb.Pool, DataCentre: pb.DataCentre,
 		Slots: pb.Slots, Held: grantIDsFromPB(pb.Held), Leaving: pb.Leaving,
-		Connection: pb.Connection, Session: pb.Session,
-		Capacity: structs.Needs{Cores: capacity.GetCores(), MemoryMB: capacity.GetMemoryMb(), Accelerators: capacity.GetAccelerators()},
+		Connection: pb.Connection, Session: pb.Session, Divided: pb.Divided,
+		Capacity: structs.Needs{
+			Cores: capacity.GetCores(), Millicores: capacity.GetMillicores(),
+			MemoryMB: capacity.GetMemoryMb(), Accelerators: capacity.GetAccelerators(),
+		},
 	}
 }
 
--- a/spec/dispatch/bindings.pml
+++ b/spec/dispatch/bindings.pml
@@ -13,6 +13,10 @@
 #define job_do_fail_expired(j) say_failed(j, job_if_untouched(j))
 
 /* task */
+/* The model has the services of which no task may run twice. */
+#define task_if_may_repeat(t) false
+#define task_if_repeatable(t) false
+#define task_do_count_error(t) skip
 #define task_do_bind_grant(t) task_attempt[t]++
 #define task_do_leave_queue(t) skip
 #define task_do_release_grant(t) task_agent[t] = NONE
--- a/spec/gen/task.pml
+++ b/spec/gen/task.pml
@@ -15,16 +15,32 @@
 inline task_on_agent_gone(self) {
   if
   :: task_state[self] == task_granted ->
-    task_do_release_grant(self);
-    task_do_record_loss(self);
-    task_state[self] = task_failed
+    if
+    :: task_if_repeatable(self) ->
+      task_do_count_error(self);
+      task_do_release_grant(self);
+      task_do_requeue(self);
+      task_state[self] = task_waiting
+    :: else ->
+      task_do_release_grant(self);
+      task_do_record_loss(self);
+      task_state[self] = task_failed
+    fi
   :: task_state[self] == task_stopping ->
     task_do_release_grant(self);
     task_state[self] = task_ended
   :: task_state[self] == task_uncertain ->
-    task_do_release_grant(self);
-    task_do_record_loss(self);
-    task_state[self] = task_failed
+    if
+    :: task_if_repeatable(self) ->
+      task_do_count_error(self);
+      task_do_release_grant(self);
+      task_do_requeue(self);
+      task_state[self] = task_waiting
+    :: else ->
+      task_do_release_grant(self);
+      task_do_record_loss(self);
+      task_state[self] = task_failed
+    fi
   :: else -> skip
   fi
 }
@@ -32,9 +48,17 @@
 inline task_on_errored(self) {
   if
   :: task_state[self] == task_granted ->
-    task_do_release_grant(self);
-    task_do_record_failure(self);
-    task_state[self] = task_failed
+    if
+    :: task_if_may_repeat(self) ->
+      task_do_count_error(self);
+      task_do_release_grant(self);
+      task_do_requeue(self);
+      task_state[self] = task_waiting
+    :: else ->
+      task_do_release_grant(self);
+      task_do_record_failure(self);
+      task_state[self] = task_failed
+    fi
   :: task_state[self] == task_stopping ->
     task_do_release_grant(self);
     task_state[self] = task_ended
