--- a/internal/event/agent.go
+++ b/internal/event/agent.go
@@ -47,6 +47,6 @@
 	{WorkerOver, Warning, "worker over", "Another life of the worker answers, or another agent serves it; this agent ends and a new one takes over.", "Look for crashes of the worker if it repeats."},
 	{WorkerAnnounced, Info, "worker announced", "A worker began a life, or said that it is leaving.", "None."},
 	{AnnouncementStale, Info, "announcement stale", "An announcement of the worker came later than a newer one and was not used.", "None."},
-	{BadAnnouncement, Warning, "bad announcement", "A heartbeat was not one of the worker on this machine, or could not be read; it was refused.", "Look for who else sends heartbeats to this address."},
 	{AgentNotStarted, Fault, "agent not started", "The agent for a worker could not be started.", "See the field error."},
+	{BadAnnouncement, Warning, "bad announcement", "A heartbeat was not one of the worker on this machine, or could not be read; it was refused.", "Look for who else sends heartbeats to this address."},
 }
