Grants without a credit wait at the agents; workers are recalled from the store

Cause: at the crest 13 % of the slots stayed idle: each of four entries held a few slots of each worker, too few for a task, and a freed slot waited for a round trip. After a power loss agents waited up to 1.5 s for a heartbeat, and links for a second packet to a machine that had no power at the first.

--- a/cmd/cactuspost-node/agent.go
+++ b/cmd/cactuspost-node/agent.go
@@ -22,6 +22,9 @@
 	// longTask is longer than any task: these workers have no reserve for short
 	// ones.
 	longTask = time.Hour
+	// queueDepth keeps a worker busy for the round trip to an entry and lets it
+	// start the most urgent task of all entries next.
+	queueDepth = 1
 	// unackedLimit bounds the results that wait for an entry.
 	unackedLimit = 100_000
 	// controlStop bounds the end of the server for heartbeats.
@@ -30,7 +33,8 @@
 
 // runAgent serves the worker on the same machine until a planned stop is done.
 func runAgent(ctx context.Context, n *node) error {
-	keeper := agentd.NewKeeper(func(a agentd.Announcement) agentd.Config { return agentConfig(n, a) }, n.log)
+	memory := agentd.NewMemory(platform.NewStore(n.platform.StoreAddress), n.platform.Node, n.log)
+	keeper := agentd.NewKeeper(func(a agentd.Announcement) agentd.Config { return agentConfig(n, a) }, memory.Keep, n.log)
 	control, err := platform.StartControl(n.platform, keeper.Announce, n.log)
 	if err != nil {
 		n.log.Event(event.ListenFailed, zap.String("error", err.Error()))
@@ -42,6 +46,9 @@
 		n.log.Event(event.StopRequested)
 		keeper.Stop()
 	}()
+	remembering, forget := context.WithCancel(ctx)
+	defer forget()
+	go memory.Run(remembering, keeper.Announce)
 	keeper.Run(ctx)
 	stopping, cancel := context.WithTimeout(ctx, controlStop)
 	defer cancel()
@@ -59,8 +66,9 @@
 			Entries: p.Seeds, HTTPAddress: p.OwnAddress(metricsPort), UnackedLimit: unackedLimit,
 		},
 		Worker: platform.NewWorker(p.WorkerAddress, a.Worker),
+		Born:   a.Born,
 		Lease:  leased.Tuning{Lease: s.Lease, Wait: s.LookWait},
-		Timing: agentd.Timing{Heartbeat: s.Heartbeat, Silence: s.EntrySilence, EntryGrace: s.EntryGrace, Pause: s.Pause},
+		Timing: agentd.Timing{Heartbeat: s.Heartbeat, Silence: s.EntrySilence, EntryGrace: s.EntryGrace, Pause: s.Pause, Dial: s.Dial, LastRetry: s.Redial},
 		Log:    n.log,
 	}
 }
--- a/internal/agent/charts.go
+++ b/internal/agent/charts.go
@@ -77,6 +77,7 @@
 			"assign":   func(s slotStep) { s.core.assignSlot(s.slot, s.link, s.reserved) },
 			"withdraw": func(s slotStep) { s.core.withdrawSlot(s.slot) },
 			"occupy":   func(s slotStep) { s.core.occupySlot(s.slot, s.run) },
+			"claim":    func(s slotStep) { s.core.claimSlot(s.slot, s.run) },
 			"vacate":   func(s slotStep) { s.core.vacateSlot(s.slot) },
 		},
 	})
@@ -88,6 +89,7 @@
 	LinkLost chart.Event `chart:"link_lost"`
 	Start    chart.Event `chart:"start"`
 	Release  chart.Event `chart:"release"`
+	Claim    chart.Event `chart:"claim"`
 	Leave    chart.Event `chart:"leave"`
 }
 
@@ -108,8 +110,12 @@
 	return chart.MustCompile(charts.Files, "run", chart.Bindings[runStep]{
 		Guards: map[string]func(runStep) bool{
 			"may_start": func(s runStep) bool { return s.run.slots != nil },
+			"may_wait":  func(s runStep) bool { return s.core.mayWait(s.run) },
 		},
 		Actions: map[string]func(runStep){
+			"enqueue":       func(s runStep) { s.core.queue = append(s.core.queue, s.run) },
+			"dequeue":       func(s runStep) { s.core.dequeue(s.run) },
+			"report_start":  func(s runStep) { s.core.reportStart(s.run) },
 			"start":         func(s runStep) { s.core.startRun(s.run) },
 			"refuse":        func(s runStep) { s.core.refuseRun(s.run) },
 			"free_slot":     func(s runStep) { s.core.freeSlot(s.run) },
@@ -131,6 +137,8 @@
 	Acked     chart.Event `chart:"acked"`
 	Resumed   chart.Event `chart:"resumed"`
 	EntryGone chart.Event `chart:"entry_gone"`
+	Room      chart.Event `chart:"room"`
+	Withdrawn chart.Event `chart:"withdrawn"`
 }
 
 func init() {
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -78,6 +78,8 @@
 	lastID  LinkID
 	runs    map[structs.GrantID]*run
 	unacked int
+	// queue holds the runs that wait for slots.
+	queue []*run
 
 	started uint64
 	refused uint64
@@ -145,6 +147,7 @@
 // call. Call it after each batch of messages and after Tick.
 func (c *Core) Flush(now time.Time) {
 	c.now = now
+	c.startQueued()
 	c.allocate()
 	for _, l := range c.links {
 		c.flushLink(l)
@@ -195,6 +198,7 @@
 
 // announceDrain closes the slots and tells every entry.
 func (c *Core) announceDrain() {
+	c.withdrawQueue()
 	for _, s := range c.slots {
 		c.fireSlot(s, slotEvents.Leave, nil)
 	}
@@ -208,6 +212,7 @@
 func (c *Core) endpointChanged(up bool) {
 	c.endpointUp = up
 	if !up {
+		c.withdrawQueue()
 		c.withdrawAll()
 	}
 }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -19,6 +19,11 @@
 	overLimit bool
 	unsent    bool
 	full      bool
+	// due is when a queued run has to start for its objective; late says that it
+	// can't be met any more.
+	due       time.Time
+	late      bool
+	queuedAt  time.Time
 	startedAt time.Time
 	result    structs.Result
 }
@@ -36,7 +41,13 @@
 		return
 	}
 	r := &run{grant: *g, link: l, state: runChart.Initial(), limit: g.Limit}
-	r.slots = c.offeredSlots(l, g.Reserved, g.Credits())
+	if g.Queued {
+		r.late = g.StartWithin < 0
+		r.due = c.now.Add(g.StartWithin)
+		r.queuedAt = c.now
+	} else {
+		r.slots = c.offeredSlots(l, g.Reserved, g.Credits())
+	}
 	c.runs[g.ID] = r
 	c.fireRun(r, runEvents.Decide)
 }
@@ -44,8 +55,12 @@
 func (c *Core) startRun(r *run) {
 	c.started++
 	r.startedAt = c.now
+	start := slotEvents.Start
+	if r.grant.Queued {
+		start = slotEvents.Claim
+	}
 	for _, s := range r.slots {
-		c.fireSlot(s, slotEvents.Start, r)
+		c.fireSlot(s, start, r)
 	}
 	c.emit(&StartTask{Grant: r.grant})
 	r.grant.Payload = nil
@@ -74,6 +89,8 @@
 		return structs.EndpointDown
 	case c.bufferFull():
 		return structs.BufferFull
+	case r.grant.Queued:
+		return structs.QueueFull
 	default:
 		return structs.NoCredit
 	}
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -39,6 +39,8 @@
 	// there is none.
 	Worker Worker
 	Lease  leased.Tuning
+	// Born tells the life of the worker that is meant from others.
+	Born int64
 	// Timing bounds the silence of entries.
 	Timing Timing
 	// Log may be nil.
@@ -55,6 +57,11 @@
 	// EntryGrace is how long a lost entry may take to come back before its tasks
 	// are stopped.
 	EntryGrace time.Duration
+	// Dial bounds the opening of a connection. A machine without power doesn't
+	// answer, and a first packet that met it is sent again after a second only.
+	Dial time.Duration
+	// LastRetry bounds the pause between two attempts to connect.
+	LastRetry time.Duration
 	// Pause is the longest time without processor that is not taken for a pause
 	// of this process; zero means that pauses are not noticed.
 	Pause time.Duration
@@ -63,6 +70,7 @@
 func (t Timing) withDefaults() Timing {
 	t.Heartbeat = cmp.Or(t.Heartbeat, heartbeatInterval)
 	t.Silence = cmp.Or(t.Silence, silenceLimit)
+	t.Dial = cmp.Or(t.Dial, dialTimeout)
 	return t
 }
 
--- a/internal/agentd/keeper.go
+++ b/internal/agentd/keeper.go
@@ -26,7 +26,8 @@
 	Worker string
 	// Born tells the lives of a worker apart; it rises.
 	Born int64
-	// Sequence rises with each announcement of a life.
+	// Sequence rises with each announcement of a life, from 1; zero means that a
+	// predecessor of this process remembered it.
 	Sequence uint64
 	Pool     string
 	Capacity structs.Needs
@@ -47,7 +48,9 @@
 	inbox *actor.Inbox[keeperInput]
 	// build returns the configuration of an agent for a worker.
 	build func(Announcement) Config
-	log   *logging.Logger
+	// remember keeps the newest announcement for a successor of this process.
+	remember func(Announcement)
+	log      *logging.Logger
 
 	ctx   context.Context
 	state chart.State
@@ -76,9 +79,11 @@
 func init() { keeperChart.MustNames(&keeperEvents) }
 
 // NewKeeper returns a keeper that knows no worker yet.
-func NewKeeper(build func(Announcement) Config, log *logging.Logger) *Keeper {
+// Remember gets each announcement that a successor of this process should know.
+func NewKeeper(build func(Announcement) Config, remember func(Announcement), log *logging.Logger) *Keeper {
 	return &Keeper{
-		inbox: actor.NewInbox[keeperInput](keeperInboxSize), build: build, log: log, state: keeperChart.Initial(),
+		inbox: actor.NewInbox[keeperInput](keeperInboxSize), build: build, remember: remember, log: log,
+		state: keeperChart.Initial(),
 	}
 }
 
@@ -129,7 +134,10 @@
 	k.latest = a
 	if a.Draining != before.Draining || !a.sameLife(before) {
 		k.log.Event(event.WorkerAnnounced, zap.String("worker", a.Worker), zap.Int64("born", a.Born),
-			zap.Uint64("sequence", a.Sequence), zap.Bool("draining", a.Draining))
+			zap.Uint64("sequence", a.Sequence), zap.Bool("draining", a.Draining), zap.Bool("remembered", a.Sequence == 0))
+		if a.Sequence > 0 {
+			k.remember(a)
+		}
 	}
 	switch {
 	case a.Draining:
@@ -147,7 +155,8 @@
 	if a.sameLife(b) {
 		return a.Sequence > b.Sequence
 	}
-	return a.Born >= b.Born
+	// What a predecessor remembered is used only while nothing else is known.
+	return a.Born >= b.Born && (a.Sequence > 0 || b.Worker == "")
 }
 
 func (k *Keeper) ended(d *Daemon) {
--- a/internal/agentd/leased.go
+++ b/internal/agentd/leased.go
@@ -46,7 +46,7 @@
 
 func newLeasedRunner(inbox *actor.Inbox[runnerInput], core *actor.Inbox[coreInput], c Config, counters *counters, log *logging.Logger, over func()) *leasedRunner {
 	return &leasedRunner{
-		inbox: inbox, core: core, worker: c.Worker, decisions: leased.New(c.Lease),
+		inbox: inbox, core: core, worker: c.Worker, decisions: leased.New(c.Lease, c.Born),
 		counters: counters, log: log, over: over,
 	}
 }
--- a/internal/agentd/links.go
+++ b/internal/agentd/links.go
@@ -162,7 +162,7 @@
 func (l *links) finished() bool { return l.finishing && len(l.connections) == 0 }
 
 func (l *links) dial(now time.Time, m *dialLink) {
-	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(l.ctx, l.timing.Dial)
 	l.connections[m.link] = newConnection(m.link, m.address, l, cancel, now)
 	go l.open(ctx, cancel, m.link, m.address)
 }
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -92,6 +92,9 @@
 		return f
 	}
 	p := c.pool(service.Pool)
+	if len(p.sessions) == 0 && j.attached && c.warmingUp() {
+		return nil
+	}
 	if f := p.checkTasks(s); f != nil {
 		return f
 	}
--- a/internal/dispatch/attached.go
+++ b/internal/dispatch/attached.go
@@ -14,6 +14,9 @@
 	// settleAfterPause is how long nothing is granted after a pause: callers
 	// that left and agents that gave up meanwhile are heard first.
 	settleAfterPause = 50 * time.Millisecond
+	// warmUp is how long after its start an entry keeps jobs although it knows no
+	// worker: agents dial within a fraction of that.
+	warmUp = 2 * time.Second
 	// widthSpread is how much longer the longest of several like tasks runs than
 	// a typical one, for each doubling of their number.
 	widthSpread = 0.2
@@ -66,7 +69,11 @@
 	chain := c.longestChain(j.service, s)
 	objective := time.Duration(service.Stretch*float64(chain)) + service.Margin.Duration()
 	j.startBy = c.now.Add(objective - chain)
-	j.startLatest = j.deadline.Add(-chain)
+	end := j.deadline
+	if useful := c.now.Add(time.Duration(service.UsefulFor * float64(objective))); service.UsefulFor > 0 && useful.Before(end) {
+		end = useful
+	}
+	j.startLatest = end.Add(-chain)
 }
 
 // longestChain estimates the run time of the job's longest chain of tasks.
@@ -115,6 +122,17 @@
 	}
 }
 
+// warmingUp reports whether agents may not have had the time to connect.
+func (c *Core) warmingUp() bool { return c.now.Sub(c.startedAt) < warmUp }
+
+// startWithin is how long the job's next task may wait for the objective.
+func (j *job) startWithin(now time.Time) time.Duration {
+	if !j.timed() {
+		return 0
+	}
+	return j.startBy.Sub(now)
+}
+
 // hopeless reports whether a job that waits can't end before its deadline.
 func (j *job) hopeless(now time.Time) bool { return j.timed() && now.After(j.startLatest) }
 
@@ -123,6 +141,9 @@
 	if !c.now.IsZero() && now.Sub(c.now) > pauseLimit && len(c.sessions) > 0 {
 		c.resumeAt = now.Add(settleAfterPause)
 	}
+	if c.startedAt.IsZero() {
+		c.startedAt = now
+	}
 	c.now = now
 }
 
--- a/internal/dispatch/charts.go
+++ b/internal/dispatch/charts.go
@@ -33,6 +33,7 @@
 			"bind_grant":     func(s taskStep) { s.core.bindGrant(s.task, s.holder) },
 			"release_grant":  func(s taskStep) { s.core.releaseGrant(s.task) },
 			"requeue":        func(s taskStep) { s.core.requeue(s.task) },
+			"note_return":    func(s taskStep) { s.core.journalReturn(s.task, s.result) },
 			"count_error":    func(s taskStep) { s.task.countError(s.result) },
 			"leave_queue":    func(s taskStep) { s.task.leaveQueue() },
 			"keep_result":    func(s taskStep) { s.task.result = s.result.Payload },
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -42,6 +42,8 @@
 	waiters  map[ReplyID]*job
 	// named holds the open jobs of callers who wait for them, by their names.
 	named map[string]*job
+	// startedAt is when the first input came.
+	startedAt time.Time
 	// resumeAt is when grants go on after a pause of this process.
 	resumeAt time.Time
 	// openJobs counts jobs in state open, undelivered ended jobs whose answer
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
+	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/structs"
 )
 
@@ -33,11 +35,15 @@
 			continue
 		}
 		s := p.place(t)
+		queued := s == nil
+		if queued {
+			s = c.placeQueued(p, t)
+		}
 		if s == nil {
 			blocked[l] = true
 			continue
 		}
-		c.grant(t, s)
+		c.grant(t, s, queued)
 	}
 }
 
@@ -126,30 +132,56 @@
 	return avoided
 }
 
-func (s *session) accepts(t *task) bool {
-	if s.state != sessionStates.Up || s.health == healthStates.Probation || s.health == healthStates.Tried {
-		return false
+// placeQueued returns the worker at which a task without a credit waits, or nil:
+// the one with the fewest of this entry, and the fastest of these.
+func (c *Core) placeQueued(p *pool, t *task) *session {
+	var best *session
+	for _, s := range p.sessions {
+		if !s.divided || s.queued >= c.tuning.QueueDepth || !s.takes(t) || s.health != healthStates.Healthy || s == t.avoided {
+			continue
+		}
+		if best == nil || s.queued < best.queued {
+			best = s
+		}
 	}
-	if !t.needs.Fits(s.capacity) {
+	return best
+}
+
+// takes reports whether the worker could run the task when it has room.
+func (s *session) takes(t *task) bool {
+	return s.state == sessionStates.Up && s.health != healthStates.Probation && s.health != healthStates.Tried &&
+		t.needs.Fits(s.capacity)
+}
+
+func (s *session) accepts(t *task) bool {
+	if !s.takes(t) {
 		return false
 	}
 	share := s.share(t.needs)
 	return s.credits.any >= share || (!t.lane.long && s.credits.short >= share)
 }
 
-// grant sends a task to a worker.
-func (c *Core) grant(t *task, s *session) {
+// grant sends a task to a worker. A queued grant uses no credit.
+func (c *Core) grant(t *task, s *session, queued bool) {
 	t.lane.pop()
-	t.reserved = !t.lane.long && s.credits.short >= s.share(t.needs)
 	t.slots = s.share(t.needs)
-	s.credits.add(t.reserved, -t.slots)
+	t.inQueue = queued
+	t.reserved = !queued && !t.lane.long && s.credits.short >= t.slots
+	if queued {
+		s.queued++
+	} else {
+		s.credits.add(t.reserved, -t.slots)
+	}
 	c.waitingBytes -= len(t.payload)
 	c.accountStart(t)
 	c.fireTask(t, taskEvents.Grant, s, nil)
 	c.fireHealth(s, healthEvents.Granted)
+	c.journalTask(event.TaskGranted, t, s, fact("attempt", int(t.attempt)), fact("slots", t.slots), fact("queued", s.queued),
+		fact("credits_left", s.credits.any), millisFact("waited_ms", c.now.Sub(t.queuedAt)), millisFact("estimate_ms", t.declared),
+		Fact{Name: "slowness_percent", Value: int64(100 * math.Exp(s.logSlowness))})
 	m := s.message()
 	m.Grants = append(m.Grants, structs.Grant{
 		ID: t.grantID(), Service: t.job.service, Kind: t.kind.name, Long: t.lane.long, Reserved: t.reserved,
-		Slots: uint32(t.slots), Name: t.name, Limit: c.serviceOf(t.job.service).TaskLimit.Duration(), Payload: t.payload,
+		Slots: uint32(t.slots), Name: t.name, Queued: queued, StartWithin: t.job.startWithin(c.now), Limit: c.serviceOf(t.job.service).TaskLimit.Duration(), Payload: t.payload,
 	})
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -30,6 +30,8 @@
 	late bool
 	// ran says that a task that waits again may have run before.
 	ran bool
+	// acceptedAt is when the job's tasks were queued.
+	acceptedAt time.Time
 	// deadline is the end of the job's lifetime on the steady clock.
 	deadline time.Time
 	// name is the caller's own name of a job whose one caller waits for it;
@@ -146,6 +148,7 @@
 // submission must not run either.
 func (c *Core) refuseJob(j *job, reply ReplyID) {
 	c.stats.JobsRefused++
+	c.journalRefused(j, j.refusal)
 	c.refuse(reply, j.refusal)
 	j.delivered = true
 	c.undelivered--
@@ -242,6 +245,7 @@
 
 func (c *Core) jobEnded(j *job) {
 	c.undelivered++
+	c.journalEnd(j)
 	if c.named[j.name] == j {
 		delete(c.named, j.name)
 	}
@@ -259,6 +263,8 @@
 	j.digest = digestOf(&m.Submission)
 	service := c.doc.Services[j.service]
 	p := c.pool(service.Pool)
+	j.acceptedAt = c.now
+	c.journalAccepted(j, p)
 	j.tasks = make([]task, len(m.Submission.Tasks))
 	for i := range j.tasks {
 		c.initTask(p, j, uint32(i), &m.Submission)
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -176,7 +176,19 @@
 	Event    event.ID
 	Endpoint string
 	Job      structs.JobID
-	Detail   string
+	// Request is the caller's name of the job, Task the endpoint's name of the
+	// task.
+	Request string
+	Task    string
+	Detail  string
+	// Facts are the figures that decided.
+	Facts []Fact
+}
+
+// Fact is one figure of an event; its name has the unit.
+type Fact struct {
+	Name  string
+	Value int64
 }
 
 // Adopted says that a document is in force from now on.
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -65,6 +65,8 @@
 
 func (c *Core) takeRefusal(s *session, t *task, reason structs.RefusalReason) {
 	switch reason {
+	case structs.QueueFull:
+		c.fireHealth(s, healthEvents.Returned)
 	case structs.EndpointUnreached:
 		t.avoided = s
 		c.fireHealth(s, healthEvents.Failed)
@@ -72,11 +74,21 @@
 		c.fireHealth(s, healthEvents.Returned)
 	default:
 		// The agent counted no credit for a grant that it refused on arrival.
-		s.credits.add(t.reserved, t.slots)
+		if !t.inQueue {
+			s.credits.add(t.reserved, t.slots)
+		}
 		c.fireHealth(s, healthEvents.Returned)
 	}
 }
 
+func (c *Core) takeStarts(s *session, started []structs.GrantID) {
+	for _, id := range started {
+		if t := s.granted[id]; t != nil {
+			t.leaveAgentQueue()
+		}
+	}
+}
+
 func (c *Core) takeCredits(s *session, m *structs.FromAgent) {
 	s.idle = m.Idle
 	if s.state != sessionStates.Up {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -34,6 +34,8 @@
 	ended []structs.Incarnation
 
 	credits creditCount
+	// queued counts the grants that wait at the agent without a credit.
+	queued  int
 	granted map[structs.GrantID]*task
 	// idle is the number of credits that other entries hold unused there.
 	idle uint32
@@ -90,6 +92,7 @@
 	c.configure(m.Message.Config)
 	c.takeResults(s, m.Message.Results)
 	c.takeRefusals(s, m.Message.Refusals)
+	c.takeStarts(s, m.Message.Started)
 	c.takeCredits(s, m.Message)
 	if m.Message.Leaving && s.state == sessionStates.Up {
 		c.fireSession(s, sessionEvents.Left, nil)
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -23,8 +23,10 @@
 	// task stands in its lane.
 	reserved bool
 	queued   bool
-	// slots is the number of credits of the present grant.
-	slots int
+	// slots is the number of credits of the present grant, inQueue says that it
+	// uses none and waits at the agent.
+	slots   int
+	inQueue bool
 	// errors counts the runs that ended with an error of their own, avoided is
 	// the worker of the last of them.
 	errors   int
@@ -149,10 +151,19 @@
 	delete(t.holder.granted, t.grantID())
 	t.holder.pool.running--
 	t.holder.pool.busy -= t.slots
+	t.leaveAgentQueue()
 	t.countLong(-1)
 	t.holder = nil
 }
 
+// leaveAgentQueue notes that the grant doesn't wait at its agent any more.
+func (t *task) leaveAgentQueue() {
+	if t.inQueue {
+		t.inQueue = false
+		t.holder.queued--
+	}
+}
+
 func (t *task) countLong(difference int) {
 	if t.lane.long {
 		t.lane.pool.longRunning += difference
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -28,6 +28,9 @@
 	ScanPeriod time.Duration
 	// AckDelay is how long an acknowledgement waits for a grant to travel with.
 	AckDelay time.Duration
+	// QueueDepth is the number of grants without a credit that may wait at an
+	// agent with divided slots.
+	QueueDepth int
 	// MaxWaitingBytes bounds the payloads that wait at this entry.
 	MaxWaitingBytes int
 	// MaxJobs bounds the job ids that are remembered.
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -250,9 +250,18 @@
 	if e.Job != (structs.JobID{}) {
 		fields = append(fields, zap.String("job", e.Job.String()))
 	}
+	if e.Request != "" {
+		fields = append(fields, zap.String("request", e.Request))
+	}
+	if e.Task != "" {
+		fields = append(fields, zap.String("task", e.Task))
+	}
 	if e.Detail != "" {
 		fields = append(fields, zap.String("detail", e.Detail))
 	}
+	for _, fact := range e.Facts {
+		fields = append(fields, zap.Int64(fact.Name, fact.Value))
+	}
 	a.log.Event(e.Event, fields...)
 }
 
--- a/internal/entryd/link.go
+++ b/internal/entryd/link.go
@@ -210,7 +210,7 @@
 // isBare reports whether a message has nothing but what every message has.
 func isBare(m *structs.FromAgent) bool {
 	return m.Heartbeat && !m.Leaving && m.Config == nil &&
-		len(m.Results) == 0 && len(m.Refusals) == 0 &&
+		len(m.Results) == 0 && len(m.Refusals) == 0 && len(m.Started) == 0 &&
 		m.Offered.Total() == 0 && m.Revoked.Total() == 0
 }
 
--- a/internal/event/agent.go
+++ b/internal/event/agent.go
@@ -24,6 +24,8 @@
 	AnnouncementStale ID = 2044
 	AgentNotStarted   ID = 2045
 	BadAnnouncement   ID = 2046
+	WorkerNotRecalled ID = 2047
+	WorkerNotKept     ID = 2048
 )
 
 var agentEvents = []Description{
@@ -49,4 +51,6 @@
 	{AnnouncementStale, Info, "announcement stale", "An announcement of the worker came later than a newer one and was not used.", "None."},
 	{AgentNotStarted, Fault, "agent not started", "The agent for a worker could not be started.", "See the field error."},
 	{BadAnnouncement, Warning, "bad announcement", "A heartbeat was not one of the worker on this machine, or could not be read; it was refused.", "Look for who else sends heartbeats to this address."},
+	{WorkerNotRecalled, Warning, "worker not recalled", "What a predecessor knew of the worker could not be read from the store; the agent waits for a heartbeat.", "Check the platform's store if it repeats."},
+	{WorkerNotKept, Warning, "worker not kept", "What the worker announced could not be written to the store; it is tried again.", "Check the platform's store if it repeats."},
 }
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -5,8 +5,8 @@
 	DaemonStarted      ID = 4001
 	SettingsRefused    ID = 4002
 	Listening          ID = 4003
-	SettingsReloaded   ID = 4005
 	ListenFailed       ID = 4004
+	SettingsReloaded   ID = 4005
 	StopRequested      ID = 4010
 	DrainWaiting       ID = 4011
 	Drained            ID = 4012
@@ -22,9 +22,9 @@
 var daemonEvents = []Description{
 	{DaemonStarted, Info, "daemon started", "The settings were accepted and the daemon begins its work.", "None."},
 	{SettingsRefused, Fault, "settings refused", "The settings file has faults; the daemon did not listen and ends. The fields list every fault.", "Mend the file at the lines given."},
-	{SettingsReloaded, Info, "settings reloaded", "The platform's settings were read again.", "None."},
 	{Listening, Info, "listening", "An address accepts connections.", "None."},
 	{ListenFailed, Fault, "listen failed", "An address of the settings can't be used; the daemon ends.", "Look for another process on the address."},
+	{SettingsReloaded, Info, "settings reloaded", "The platform's settings were read again.", "None."},
 	{StopRequested, Info, "stop requested", "A planned stop begins: nothing new is taken, and what was accepted is finished.", "Wait for the event drained."},
 	{DrainWaiting, Info, "drain waiting", "The planned stop waits for work that is still in progress.", "None; the fields say how much is left."},
 	{Drained, Info, "drained", "The planned stop has finished everything that was accepted.", "None."},
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -21,6 +21,12 @@
 	PeerReplaced        ID = 1031
 	PeerRejected        ID = 1032
 	RequestFault        ID = 1033
+	JobAccepted         ID = 1040
+	JobRefused          ID = 1041
+	JobComplete         ID = 1042
+	JobFailed           ID = 1043
+	TaskGranted         ID = 1044
+	TaskReturned        ID = 1045
 )
 
 var entryEvents = []Description{
@@ -43,4 +49,10 @@
 	{PeerReplaced, Warning, "peer replaced", "The address of a job's owner answers as another incarnation; the job was reported failed with an unknown outcome.", "Look for crashes of that entry if it repeats."},
 	{PeerRejected, Warning, "peer rejected", "A request passed on by another entry was rejected: it was meant for another incarnation, or its message is broken.", "None, if it follows the replacement of an entry; else check that all entries have the same release."},
 	{RequestFault, Fault, "request fault", "An HTTP request met a fault of the entry; its caller was told that the outcome is unknown.", "Report it with the fields of the event."},
+	{JobAccepted, Info, "job accepted", "A job was admitted; the fields say what was known of the room and how long it may wait.", "None."},
+	{JobRefused, Warning, "job refused", "A job was not admitted and never runs; the fields give the reason and what was known of the room.", "Add workers if it repeats."},
+	{JobComplete, Info, "job complete", "Every task of a job has its result.", "None."},
+	{JobFailed, Warning, "job failed", "A job ended without an answer; the fields give the reason and what became of its tasks.", "Follow the job's tasks to the cause."},
+	{TaskGranted, Info, "task granted", "A task was handed to the agent of a worker; the fields say what was known of the worker.", "None."},
+	{TaskReturned, Warning, "task returned", "A granted task waits again: its run was refused, lost, stopped or failed.", "Look at the worker if it repeats."},
 }
--- a/internal/leased/core.go
+++ b/internal/leased/core.go
@@ -81,9 +81,10 @@
 }
 
 // New returns a core that has not looked at its worker yet.
-func New(t Tuning) *Core {
+// Born is the life of the worker that is meant, if it is known.
+func New(t Tuning, born int64) *Core {
 	return &Core{
-		tuning: t.withDefaults(), state: tenureChart.Initial(),
+		born: born, tuning: t.withDefaults(), state: tenureChart.Initial(),
 		orders: map[structs.GrantID]*order{}, byTask: map[string]*order{}, numbers: map[string]lastRun{},
 	}
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -27,6 +27,9 @@
 	// how long a look at it waits for an end.
 	Lease    time.Duration
 	LookWait time.Duration
+	// Dial bounds the opening of a link, Redial the pause between two attempts.
+	Dial   time.Duration
+	Redial time.Duration
 	// Pause is the longest time without processor that is not taken for a pause
 	// of the process.
 	Pause time.Duration
@@ -70,6 +73,8 @@
 		AgentGrace:   ms("agent_grace_ms"),
 		Lease:        ms("lease_ms"),
 		LookWait:     ms("look_wait_ms"),
+		Dial:         ms("dial_ms"),
+		Redial:       ms("redial_ms"),
 		Pause:        ms("pause_ms"),
 		FeedWait:     ms("feed_wait_ms"),
 		Settle:       ms("settle_ms"),
--- a/internal/structs/config.go
+++ b/internal/structs/config.go
@@ -72,6 +72,9 @@
 	// there is none.
 	Stretch float64 `json:"stretch,omitempty"`
 	Margin  Millis  `json:"margin_ms,omitempty"`
+	// UsefulFor is how many times the response objective an answer is still of
+	// use; zero means until the caller's deadline.
+	UsefulFor float64 `json:"useful_for,omitempty"`
 }
 
 // Team is a group of callers.
--- a/internal/structs/link.go
+++ b/internal/structs/link.go
@@ -8,6 +8,8 @@
 	Hello    *Hello
 	Results  []Result
 	Refusals []Refusal
+	// Started lists queued grants that have started.
+	Started []GrantID
 	// Revoked takes back credits that the entry may still hold.
 	Revoked Credits
 	// Offered adds credits: each lets the entry send one grant.
@@ -87,6 +89,8 @@
 	// EndpointUnreached means that the grant used its credit, but the endpoint
 	// could not be reached and nothing was sent to it.
 	EndpointUnreached
+	// QueueFull means that too many grants wait at the agent already.
+	QueueFull
 	// EndpointFull means that the grant used its credit, but the endpoint has no
 	// room for the task at the moment.
 	EndpointFull
@@ -143,6 +147,11 @@
 	Reserved bool
 	// Slots is the number of credits that the grant uses; zero means one.
 	Slots uint32
+	// Queued says that the grant uses no credit: it waits at the agent for its
+	// slots. StartWithin is how long it may wait for the job's objective; it is
+	// negative if that can't be met any more.
+	Queued      bool
+	StartWithin time.Duration
 	// Name is what the endpoint knows the task by; it may be empty.
 	Name string
 	// Limit bounds the run time.
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -86,7 +86,7 @@
 func fromAgentToPB(m *structs.FromAgent) (*wirepb.FromAgent, error) {
 	pb := &wirepb.FromAgent{
 		Idle: m.Idle, Leaving: m.Leaving, Revision: m.Revision, Heartbeat: m.Heartbeat,
-		Offered: creditsToPB(m.Offered), Revoked: creditsToPB(m.Revoked),
+		Offered: creditsToPB(m.Offered), Revoked: creditsToPB(m.Revoked), Started: grantIDsToPB(m.Started),
 	}
 	if m.Hello != nil {
 		pb.Hello = helloToPB(m.Hello)
@@ -109,7 +109,7 @@
 func fromAgentFromPB(pb *wirepb.FromAgent) (*structs.FromAgent, error) {
 	m := &structs.FromAgent{
 		Idle: pb.Idle, Leaving: pb.Leaving, Revision: pb.Revision, Heartbeat: pb.Heartbeat,
-		Offered: creditsFromPB(pb.Offered), Revoked: creditsFromPB(pb.Revoked),
+		Offered: creditsFromPB(pb.Offered), Revoked: creditsFromPB(pb.Revoked), Started: grantIDsFromPB(pb.Started),
 	}
 	if pb.Hello != nil {
 		m.Hello = helloFromPB(pb.Hello)
@@ -141,6 +141,7 @@
 		pb.Grants = append(pb.Grants, &wirepb.Grant{
 			Id: grantIDToPB(g.ID), Service: g.Service, Kind: g.Kind, Long: g.Long, Reserved: g.Reserved,
 			LimitUs: g.Limit.Microseconds(), Payload: g.Payload, Slots: g.Slots, Name: g.Name,
+			Queued: g.Queued, StartWithinUs: g.StartWithin.Microseconds(),
 		})
 	}
 	if d := m.Demand; d != nil {
@@ -166,6 +167,7 @@
 		m.Grants = append(m.Grants, structs.Grant{
 			ID: grantIDFromPB(g.Id), Service: g.Service, Kind: g.Kind, Long: g.Long, Reserved: g.Reserved,
 			Limit: micros(g.LimitUs), Payload: g.Payload, Slots: g.Slots, Name: g.Name,
+			Queued: g.Queued, StartWithin: micros(g.StartWithinUs),
 		})
 	}
 	if d := pb.Demand; d != nil {
--- a/spec/dispatch/bindings.pml
+++ b/spec/dispatch/bindings.pml
@@ -17,6 +17,7 @@
 #define task_if_may_repeat(t) false
 #define task_if_repeatable(t) false
 #define task_do_count_error(t) skip
+#define task_do_note_return(t) skip
 #define task_do_bind_grant(t) task_attempt[t]++
 #define task_do_leave_queue(t) skip
 #define task_do_release_grant(t) task_agent[t] = NONE
@@ -44,9 +45,15 @@
 #define slot_do_withdraw(a) slot_entry[a] = NONE
 #define slot_do_occupy(a) slot_entry[a] = NONE
 #define slot_do_vacate(a) skip
+#define slot_do_claim(a) skip
 
 /* run */
 #define run_if_may_start(g) (agent_takes_grants(run_agent[g]) && slot_state[run_agent[g]] == slot_offered && slot_entry[run_agent[g]] == owner_of(job_of(task_of(g))))
+/* The model has the grants that use a credit. */
+#define run_if_may_wait(g) false
+#define run_do_enqueue(g) skip
+#define run_do_dequeue(g) skip
+#define run_do_report_start(g) skip
 #define run_do_refuse(g) send_up(run_pair(g), refusal, g, 0)
 #define run_do_free_slot(g) slot_fire(run_agent[g], release)
 #define run_do_keep_result(g) skip
--- a/spec/gen/run.pml
+++ b/spec/gen/run.pml
@@ -3,10 +3,11 @@
 #define run_ended 0
 #define run_finished 1
 #define run_orphaned 2
-#define run_received 3
-#define run_refused 4
-#define run_running 5
-#define run_stopping 6
+#define run_queued 3
+#define run_received 4
+#define run_refused 5
+#define run_running 6
+#define run_stopping 7
 #define run_initial run_received
 #define run_is_final(state) ((state) == run_refused || (state) == run_ended)
 #define run_fire(self, event) run_on_##event(self)
@@ -28,8 +29,14 @@
       run_do_start(self);
       run_state[self] = run_running
     :: else ->
-      run_do_refuse(self);
-      run_state[self] = run_refused
+      if
+      :: run_if_may_wait(self) ->
+        run_do_enqueue(self);
+        run_state[self] = run_queued
+      :: else ->
+        run_do_refuse(self);
+        run_state[self] = run_refused
+      fi
     fi
   :: else -> skip
   fi
@@ -40,6 +47,9 @@
   :: run_state[self] == run_finished ->
     run_do_forget_result(self);
     run_state[self] = run_ended
+  :: run_state[self] == run_queued ->
+    run_do_dequeue(self);
+    run_state[self] = run_refused
   :: run_state[self] == run_running ->
     run_do_stop_task(self);
     run_state[self] = run_orphaned
@@ -87,8 +97,23 @@
   fi
 }
 
+inline run_on_room(self) {
+  if
+  :: run_state[self] == run_queued ->
+    run_do_dequeue(self);
+    run_do_start(self);
+    run_do_report_start(self);
+    run_state[self] = run_running
+  :: else -> skip
+  fi
+}
+
 inline run_on_stop(self) {
   if
+  :: run_state[self] == run_queued ->
+    run_do_dequeue(self);
+    run_do_refuse(self);
+    run_state[self] = run_refused
   :: run_state[self] == run_running ->
     run_do_stop_task(self);
     run_state[self] = run_stopping
@@ -112,3 +137,13 @@
   :: else -> skip
   fi
 }
+
+inline run_on_withdrawn(self) {
+  if
+  :: run_state[self] == run_queued ->
+    run_do_dequeue(self);
+    run_do_refuse(self);
+    run_state[self] = run_refused
+  :: else -> skip
+  fi
+}
--- a/spec/gen/slot.pml
+++ b/spec/gen/slot.pml
@@ -8,6 +8,15 @@
 #define slot_is_final(state) (false)
 #define slot_fire(self, event) slot_on_##event(self)
 
+inline slot_on_claim(self) {
+  if
+  :: slot_state[self] == slot_free ->
+    slot_do_claim(self);
+    slot_state[self] = slot_busy
+  :: else -> skip
+  fi
+}
+
 inline slot_on_leave(self) {
   if
   :: slot_state[self] == slot_free ->
--- a/spec/gen/task.pml
+++ b/spec/gen/task.pml
@@ -17,6 +17,7 @@
   :: task_state[self] == task_granted ->
     if
     :: task_if_repeatable(self) ->
+      task_do_note_return(self);
       task_do_count_error(self);
       task_do_release_grant(self);
       task_do_requeue(self);
@@ -32,6 +33,7 @@
   :: task_state[self] == task_uncertain ->
     if
     :: task_if_repeatable(self) ->
+      task_do_note_return(self);
       task_do_count_error(self);
       task_do_release_grant(self);
       task_do_requeue(self);
@@ -50,6 +52,7 @@
   :: task_state[self] == task_granted ->
     if
     :: task_if_may_repeat(self) ->
+      task_do_note_return(self);
       task_do_count_error(self);
       task_do_release_grant(self);
       task_do_requeue(self);
@@ -111,6 +114,7 @@
 inline task_on_refused(self) {
   if
   :: task_state[self] == task_granted ->
+    task_do_note_return(self);
     task_do_release_grant(self);
     task_do_requeue(self);
     task_state[self] = task_waiting
@@ -140,6 +144,7 @@
     task_do_release_grant(self);
     task_state[self] = task_dropped
   :: task_state[self] == task_uncertain ->
+    task_do_note_return(self);
     task_do_release_grant(self);
     task_do_requeue(self);
     task_state[self] = task_waiting
