A look without an answer is overtaken

Cause: while a twentieth of the orders has no answer, a lost look hid the ends of all runs at its worker for 350 ms, several times a second.

--- a/internal/leased/core.go
+++ b/internal/leased/core.go
@@ -31,6 +31,10 @@
 	clockError = 0.03
 	// lapseMargin is for the end of the runs once the lease is over.
 	lapseMargin = 60 * time.Millisecond
+	// overtakeAfter is how long a look may be without an answer before another one
+	// is sent beside it, and maxLooks the number of looks side by side.
+	overtakeAfter = 50 * time.Millisecond
+	maxLooks      = 3
 	// refusedPause is the time between two looks at a worker that accepts no
 	// connection.
 	refusedPause = 100 * time.Millisecond
@@ -62,7 +66,11 @@
 	// sign of the agent than those sent so far.
 	lapsesAt   time.Time
 	answeredAt time.Time
-	looking    bool
+	// looks counts the looks under way, lookedAt is when the last one was sent,
+	// and lookNow asks for one that doesn't wait.
+	looks    int
+	lookedAt time.Time
+	lookNow  bool
 	// lookAt is when a worker that accepts no connection is tried again.
 	lookAt time.Time
 
@@ -133,17 +141,26 @@
 
 func (c *Core) fire(e chart.Event) { tenureChart.Fire(&c.state, e, c) }
 
-// look sends the next look if none is under way.
+// look sends the next look if one is due: a look without an answer would hide
+// the ends of runs until its time limit, so another one follows it soon.
 func (c *Core) look() {
-	if c.looking || c.now.Before(c.lookAt) || tenureChart.Final(c.state) {
+	if c.now.Before(c.lookAt) || tenureChart.Final(c.state) {
+		return
+	}
+	overtake := len(c.orders) > 0 && c.now.Sub(c.lookedAt) >= overtakeAfter && c.looks < maxLooks
+	if c.looks > 0 && !overtake && !c.lookNow {
 		return
 	}
-	c.looking = true
 	look := &Look{Token: c.token, LastSeen: c.lastSeen}
 	if c.state == tenureStates.Held {
-		look.Wait = c.tuning.Wait
 		look.Until = c.leaseEnd()
+		if !c.lookNow {
+			look.Wait = c.tuning.Wait
+		}
 	}
+	c.looks++
+	c.lookedAt = c.now
+	c.lookNow = false
 	c.emit(look)
 }
 
@@ -159,7 +176,7 @@
 }
 
 func (c *Core) looked(m *Looked) {
-	c.looking = false
+	c.looks--
 	c.report = m
 	switch m.Verdict {
 	case Done:
--- a/internal/leased/order.go
+++ b/internal/leased/order.go
@@ -80,7 +80,9 @@
 	o := c.byTask[m.Run.Task]
 	o.answeredAt = c.now
 	if m.Verdict == Done || m.Verdict == Outdated {
+		c.lookNow = true
 		c.fireOrder(o, orderEvents.Stopped)
+		c.look()
 		return
 	}
 	c.fireOrder(o, orderEvents.StopLost)
