A job keeps off workers that are too slow for its objective

Cause: long tasks were started on free slow workers (1.9 x the typical run time) and missed their objective for certain, while a fast worker was about to be free.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -157,7 +157,7 @@
 	a.seenAt = c.now
 	wait := c.expectedWait(p, j, s)
 	if j.timed() {
-		if c.now.Add(wait).Before(j.startLatest) {
+		if c.now.Add(wait + p.fastest(j)).Before(j.endBy) {
 			return nil
 		}
 		return failure.New(failure.Overloaded, failure.NotRun, "the job would end after its deadline").WithRetry(max(minRetry, wait/2))
@@ -257,7 +257,7 @@
 
 // shedHopeless ends the jobs of a lane that can't end before their deadlines.
 func (c *Core) shedHopeless(l *lane) {
-	for l.waiting > 0 && l.first().job.hopeless(c.now) {
+	for l.waiting > 0 && l.pool.hopeless(l.first().job, c.now) {
 		j := l.first().job
 		if !j.untouched() {
 			return
--- a/internal/dispatch/attached.go
+++ b/internal/dispatch/attached.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"cactuspost.example/internal/failure"
@@ -66,14 +67,13 @@
 	if service.Stretch == 0 {
 		return
 	}
-	chain := c.longestChain(j.service, s)
-	objective := time.Duration(service.Stretch*float64(chain)) + service.Margin.Duration()
-	j.startBy = c.now.Add(objective - chain)
-	end := j.deadline
-	if useful := c.now.Add(time.Duration(service.UsefulFor * float64(objective))); service.UsefulFor > 0 && useful.Before(end) {
-		end = useful
+	j.chain = c.longestChain(j.service, s)
+	objective := time.Duration(service.Stretch*float64(j.chain)) + service.Margin.Duration()
+	j.aimBy = c.now.Add(objective)
+	j.endBy = j.deadline
+	if useful := c.now.Add(time.Duration(service.UsefulFor * float64(objective))); service.UsefulFor > 0 && useful.Before(j.endBy) {
+		j.endBy = useful
 	}
-	j.startLatest = end.Add(-chain)
 }
 
 // longestChain estimates the run time of the job's longest chain of tasks.
@@ -105,36 +105,75 @@
 }
 
 // timed reports whether the job has a response objective.
-func (j *job) timed() bool { return !j.startBy.IsZero() }
+func (j *job) timed() bool { return !j.aimBy.IsZero() }
+
+// runTime estimates the run time of the job's longest chain on a worker.
+func (j *job) runTime(s *session) time.Duration {
+	return time.Duration(float64(j.chain) * math.Exp(s.logSlowness))
+}
+
+// late reports whether a job that starts now misses its objective on the fastest
+// worker of the pool.
+func (p *pool) late(j *job, now time.Time) bool { return now.After(p.startBy(j)) }
+
+// startBy is when the job has to start on the pool's fastest worker to meet its
+// objective.
+func (p *pool) startBy(j *job) time.Time {
+	return j.aimBy.Add(-p.fastest(j))
+}
 
 // urgent reports whether a job goes before another one: first those that can
 // still meet their objective, the one that has to start soonest first; then the
-// late ones in the order of their deadlines.
-func (j *job) urgent(other *job, now time.Time) bool {
-	late, otherLate := now.After(j.startBy), now.After(other.startBy)
+// late ones in the order of their ends.
+func (p *pool) urgent(j, other *job, now time.Time) bool {
+	late, otherLate := p.late(j, now), p.late(other, now)
 	switch {
 	case late != otherLate:
 		return otherLate
 	case late:
-		return j.startLatest.Before(other.startLatest)
+		return j.endBy.Before(other.endBy)
 	default:
-		return j.startBy.Before(other.startBy)
+		return p.startBy(j).Before(p.startBy(other))
+	}
+}
+
+// inTime reports whether a job that starts on the worker now meets its objective,
+// or, if it is late already, is of any use.
+func (j *job) inTime(s *session, late bool, now time.Time) bool {
+	if !j.timed() {
+		return true
 	}
+	end := j.aimBy
+	if late {
+		end = j.endBy
+	}
+	return !now.Add(j.runTime(s)).After(end)
 }
 
 // warmingUp reports whether agents may not have had the time to connect.
 func (c *Core) warmingUp() bool { return c.now.Sub(c.startedAt) < warmUp }
 
 // startWithin is how long the job's next task may wait for the objective.
-func (j *job) startWithin(now time.Time) time.Duration {
+func (p *pool) startWithin(j *job, now time.Time) time.Duration {
 	if !j.timed() {
 		return 0
 	}
-	return j.startBy.Sub(now)
+	return p.startBy(j).Sub(now)
 }
 
 // hopeless reports whether a job that waits can't end before its deadline.
-func (j *job) hopeless(now time.Time) bool { return j.timed() && now.After(j.startLatest) }
+func (p *pool) hopeless(j *job, now time.Time) bool {
+	return j.timed() && now.Add(p.fastest(j)).After(j.endBy)
+}
+
+// fastest estimates the run time of the job's longest chain on the pool's
+// fastest worker.
+func (p *pool) fastest(j *job) time.Duration {
+	if len(p.sessions) == 0 {
+		return j.chain
+	}
+	return j.runTime(p.sessions[0])
+}
 
 // notePause holds grants back for a moment if this process has been paused.
 func (c *Core) notePause(now time.Time) {
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -34,7 +34,7 @@
 		if c.reclassify(t) {
 			continue
 		}
-		s := p.place(t)
+		s := p.place(t, c.now)
 		queued := s == nil
 		if queued {
 			s = c.placeQueued(p, t)
@@ -118,10 +118,11 @@
 
 // place returns the fastest worker with credits for the task, or nil. The
 // worker where the task failed is the last choice.
-func (p *pool) place(t *task) *session {
+func (p *pool) place(t *task, now time.Time) *session {
+	late := t.job.timed() && p.late(t.job, now)
 	var avoided *session
 	for _, s := range p.sessions {
-		if !s.accepts(t) {
+		if !s.accepts(t) || !t.job.inTime(s, late, now) {
 			continue
 		}
 		if s != t.avoided {
@@ -136,8 +137,9 @@
 // the one with the fewest of this entry, and the fastest of these.
 func (c *Core) placeQueued(p *pool, t *task) *session {
 	var best *session
+	late := t.job.timed() && p.late(t.job, c.now)
 	for _, s := range p.sessions {
-		if !s.divided || s.queued >= c.tuning.QueueDepth || !s.takes(t) || s.health != healthStates.Healthy || s == t.avoided {
+		if !s.divided || !t.job.inTime(s, late, c.now) || s.queued >= c.tuning.QueueDepth || !s.takes(t) || s.health != healthStates.Healthy || s == t.avoided {
 			continue
 		}
 		if best == nil || s.queued < best.queued {
@@ -182,6 +184,6 @@
 	m := s.message()
 	m.Grants = append(m.Grants, structs.Grant{
 		ID: t.grantID(), Service: t.job.service, Kind: t.kind.name, Long: t.lane.long, Reserved: t.reserved,
-		Slots: uint32(t.slots), Name: t.name, Queued: queued, StartWithin: t.job.startWithin(c.now), Limit: c.serviceOf(t.job.service).TaskLimit.Duration(), Payload: t.payload,
+		Slots: uint32(t.slots), Name: t.name, Queued: queued, StartWithin: t.lane.pool.startWithin(t.job, c.now), Limit: c.serviceOf(t.job.service).TaskLimit.Duration(), Payload: t.payload,
 	})
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -38,12 +38,13 @@
 	// such a job ends when the caller leaves.
 	name     string
 	attached bool
-	// startBy is when the longest chain of tasks has to start for the response
-	// objective; zero means that there is none. startLatest is when it has to
-	// start to end before the deadline.
-	startBy     time.Time
-	startLatest time.Time
-	steps       []step
+	// chain is the estimated run time of the job's longest chain of tasks on a
+	// worker of typical speed. The chain has to end by aimBy for the response
+	// objective, zero means that there is none, and by endBy to be of any use.
+	chain time.Duration
+	aimBy time.Time
+	endBy time.Time
+	steps []step
 }
 
 // untouched reports whether no task of the job may have started.
--- a/internal/dispatch/journal.go
+++ b/internal/dispatch/journal.go
@@ -41,7 +41,7 @@
 	if !j.attached {
 		return
 	}
-	facts := append(c.room(p), fact("tasks", len(j.tasks)), millisFact("start_in_ms", j.startBy.Sub(c.now)),
+	facts := append(c.room(p), fact("tasks", len(j.tasks)), millisFact("start_in_ms", p.startWithin(j, c.now)),
 		millisFact("deadline_in_ms", j.deadline.Sub(c.now)))
 	c.journalJob(event.JobAccepted, j, "", facts...)
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -211,7 +211,7 @@
 		return l.account.virtual < other.account.virtual
 	}
 	if l.first().job.timed() && other.first().job.timed() {
-		return l.first().job.urgent(other.first().job, now)
+		return l.pool.urgent(l.first().job, other.first().job, now)
 	}
 	if l.long != other.long {
 		late := l
