A runtime processor for each event loop; logs never wait for their reader

Cause: agents that started from the store's row stood still for up to 2.7 s after a power loss: with one processor of the Go runtime, an event loop that waits in the kernel keeps it until the monitor takes it back. Ruled out: the first tick coming late (dialling at once changed nothing). Change: GOMAXPROCS covers the loops. The log is written by one goroutine, within bounds a second, failures first; what is dropped is counted.

--- a/cmd/cactuspost-node/main.go
+++ b/cmd/cactuspost-node/main.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
@@ -19,7 +21,17 @@
 	"cactuspost.example/platform"
 )
 
+// lastLines bounds the writing of the last lines at the end of a process.
+const lastLines = 100 * time.Millisecond
+
+// processors is the number of the Go runtime's processors: one for each event
+// loop of the network library, which holds it while it waits in the kernel, and
+// one for everything else. With fewer, everything else waits until the runtime's
+// monitor takes a processor back from a loop.
+const processors = 4
+
 func main() {
+	runtime.GOMAXPROCS(max(processors, runtime.NumCPU()))
 	if err := command().Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -71,7 +83,9 @@
 	if err != nil {
 		return err
 	}
-	log := logging.New(os.Stdout, own.LogLevel).With(zap.String("role", role), zap.String("node", given.Node))
+	lines, bounded := logging.NewBounded(os.Stdout, own.LogLevel)
+	defer bounded.Close(lastLines)
+	log := lines.With(zap.String("role", role), zap.String("node", given.Node))
 	stops := make(chan os.Signal, 1)
 	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 	go reload(log)
--- a/internal/agentd/core.go
+++ b/internal/agentd/core.go
@@ -91,7 +91,13 @@
 	}
 }
 
-func (c *core) run(ctx context.Context) { actor.Run(ctx, c.inbox, corePeriod, c) }
+// run dials the entries at once, and then serves until the context ends.
+func (c *core) run(ctx context.Context) {
+	now := time.Now()
+	c.Tick(now)
+	c.Flush(now)
+	actor.Run(ctx, c.inbox, corePeriod, c)
+}
 
 // Handle passes one message to the decisions.
 func (c *core) Handle(now time.Time, in coreInput) bool {
--- a/internal/agentd/leased.go
+++ b/internal/agentd/leased.go
@@ -51,7 +51,13 @@
 	}
 }
 
-func (r *leasedRunner) run(ctx context.Context) { actor.Run(ctx, r.inbox, leasedPeriod, r) }
+// run looks at the worker at once, and then serves until the context ends.
+func (r *leasedRunner) run(ctx context.Context) {
+	now := time.Now()
+	r.Tick(now)
+	r.Flush(now)
+	actor.Run(ctx, r.inbox, leasedPeriod, r)
+}
 
 // Handle passes one message to the decisions.
 func (r *leasedRunner) Handle(now time.Time, in runnerInput) bool {
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -17,6 +17,7 @@
 	TokenRefused       ID = 4021
 	ConnectionsAtLimit ID = 4022
 	ActorFailed        ID = 4030
+	LinesDropped       ID = 4031
 )
 
 var daemonEvents = []Description{
@@ -35,4 +36,5 @@
 	{TokenRefused, Warning, "token refused", "A request came without a valid token.", "Check the caller's token if it repeats."},
 	{ConnectionsAtLimit, Warning, "connections at limit", "New HTTP connections are refused because max_connections are open.", "Raise max_connections or add an entry."},
 	{ActorFailed, Fault, "actor failed", "A part of the daemon ended for an internal fault; the daemon ends.", "Report it with the fields of the event."},
+	{LinesDropped, Warning, "lines dropped", "More lines came than the bounds allow, or the reader of the log was too slow; the fields count what is missing.", "Look at the metrics for that second."},
 }
--- a/internal/leased/core.go
+++ b/internal/leased/core.go
@@ -195,8 +195,8 @@
 	}
 	c.report = nil
 	// Outside of the chart's held state a look returns at once, and the next one
-	// waits for the tick.
-	if c.state == tenureStates.Held {
+	// waits for the tick, but for the first one under the token.
+	if c.state == tenureStates.Held || c.lookNow {
 		c.look()
 	}
 }
@@ -215,6 +215,7 @@
 	c.born = cmp.Or(c.born, m.Report.Born)
 	if c.state == tenureStates.Claiming {
 		c.fire(tenureEvents.ClockRead)
+		c.lookNow = true
 		return
 	}
 	c.fire(tenureEvents.Listed)
@@ -225,6 +226,7 @@
 func (c *Core) fenced() {
 	if c.state == tenureStates.Claiming {
 		c.fire(tenureEvents.ClockRead)
+		c.lookNow = true
 		return
 	}
 	c.over(Fenced)
--- /dev/null
+++ b/internal/logging/bounded_test.go
@@ -0,0 +1,73 @@
+package logging
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"cactuspost.example/internal/event"
+)
+
+func TestStuckReaderDelaysNobody(t *testing.T) {
+	is := is.New(t)
+	reader, writer := io.Pipe() // nobody reads
+	defer reader.Close()
+	log, bounded := NewBounded(writer, event.Info)
+	done := make(chan struct{})
+	go func() {
+		for i := range 3 * laneLines {
+			log.Event(event.DaemonStarted, zap.Int("n", i))
+			log.Event(event.TokenRefused, zap.Int("n", i))
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("a line waited for the reader")
+	}
+	is.True(bounded.infos.dropped.Load() > 0)
+	is.True(bounded.faults.dropped.Load() > 0)
+}
+
+func TestVolumeIsBoundedAndDropsAreCounted(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log, bounded := NewBounded(&out, event.Info)
+	for range infoPerSecond + 500 {
+		log.Event(event.DaemonStarted)
+	}
+	bounded.account(log) // the second is over
+	bounded.Close(10 * time.Second)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	started, dropped := 0, ""
+	for _, line := range lines {
+		switch {
+		case strings.Contains(line, `"daemon started"`):
+			started++
+		case strings.Contains(line, `"lines dropped"`):
+			dropped = line
+		}
+	}
+	is.Equal(started, infoPerSecond)
+	is.True(strings.Contains(dropped, `"infos":500`))
+}
+
+func TestFailuresGoFirst(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	b := &Bounded{out: &out, stop: make(chan struct{}), ended: make(chan struct{})}
+	b.faults = lane{lines: make(chan []byte, 4), most: 4}
+	b.infos = lane{lines: make(chan []byte, 4), most: 4}
+	_, _ = b.infos.Write([]byte("info\n"))
+	_, _ = b.faults.Write([]byte("fault\n"))
+	go b.run(Discard())
+	is.True(len(b.infos.lines) <= 1)
+	b.Close(10 * time.Second)
+	is.Equal(strings.Index(out.String(), "fault"), 0)
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -27,7 +27,12 @@
 // one call of Write; the writer must accept calls from several goroutines, as
 // an os.File does.
 func New(w io.Writer, least event.Severity, options ...Option) *Logger {
-	encoder := zapcore.NewJSONEncoder(zapcore.EncoderConfig{
+	core := zapcore.NewCore(newEncoder(), zapcore.AddSync(w), levels[least])
+	return &Logger{zap: zap.New(core, options...)}
+}
+
+func newEncoder() zapcore.Encoder {
+	return zapcore.NewJSONEncoder(zapcore.EncoderConfig{
 		TimeKey:        "time",
 		LevelKey:       "severity",
 		MessageKey:     "name",
@@ -35,8 +40,6 @@
 		EncodeLevel:    encodeSeverity,
 		EncodeDuration: zapcore.MillisDurationEncoder,
 	})
-	core := zapcore.NewCore(encoder, zapcore.AddSync(w), levels[least])
-	return &Logger{zap: zap.New(core, options...)}
 }
 
 // Discard returns a logger that writes nothing.
