Idle fast workers before slow ones; slowness learnt from the first run times

Cause: credits are spread over the entries, so a wide job spilled onto slow workers while fast ones stood idle with credits of other entries. Change: a task goes without a credit to a much faster worker that reports idle credits; a worker's first run times weigh more.

--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -35,9 +35,12 @@
 			continue
 		}
 		s := p.place(t, c.now)
-		queued := s == nil
-		if queued {
-			s = c.placeQueued(p, t)
+		queued := false
+		if faster := c.placeIdle(p, t, s); faster != nil {
+			s, queued = faster, true
+		}
+		if s == nil {
+			s, queued = c.placeQueued(p, t), true
 		}
 		if s == nil {
 			blocked[l] = true
@@ -133,6 +136,29 @@
 	return avoided
 }
 
+// muchFaster is the difference of the logarithms of slowness from which a worker
+// is worth a grant without a credit.
+const muchFaster = 0.25
+
+// placeIdle returns a worker that is much faster than the one with credits and at
+// which other entries hold enough credits that they don't use, or nil: the agent
+// takes them back for a grant that waits there.
+func (c *Core) placeIdle(p *pool, t *task, placed *session) *session {
+	if placed == nil || !placed.divided || c.tuning.QueueDepth == 0 {
+		return nil
+	}
+	for _, s := range p.sessions {
+		if s.logSlowness > placed.logSlowness-muchFaster {
+			return nil
+		}
+		if share := s.share(t.needs); s.takes(t) && s.health == healthStates.Healthy && s != t.avoided && int(s.idle) >= share {
+			s.idle -= uint32(share)
+			return s
+		}
+	}
+	return nil
+}
+
 // placeQueued returns the worker at which a task without a credit waits, or nil:
 // the one with the fewest of this entry, and the fastest of these.
 func (c *Core) placeQueued(p *pool, t *task) *session {
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -24,8 +24,10 @@
 	ejectedShare = 0.34
 	// maxCoolings bounds the doublings of the cooling period.
 	maxCoolings = 5
-	// slownessSmoothing is the weight of a new run time in a worker's slowness.
-	slownessSmoothing = 0.03
+	// slownessSmoothing is the weight of a new run time in a worker's slowness,
+	// once it has had slownessStart and more of them.
+	slownessSmoothing = 0.05
+	slownessStart     = 8
 )
 
 func (c *Core) fireHealth(s *session, e chart.Event) {
@@ -72,5 +74,7 @@
 		return
 	}
 	ratio := math.Log(math.Max(run.Seconds(), 1e-6)) - k.logMean
-	s.logSlowness += slownessSmoothing * (ratio - s.logSlowness)
+	weight := max(slownessSmoothing, 1/float64(slownessStart+s.timings))
+	s.timings++
+	s.logSlowness += weight * (ratio - s.logSlowness)
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -50,6 +50,8 @@
 	coolingEnd  time.Time
 	coolings    int
 	logSlowness float64
+	// timings counts the run times in logSlowness.
+	timings int
 
 	// out collects the parts of the next message.
 	out      *structs.FromEntry
@@ -161,6 +163,7 @@
 		s.ended = s.ended[1:]
 	}
 	s.logSlowness = old.logSlowness
+	s.timings = old.timings
 	return s
 }
 
