--- /dev/null
+++ b/internal/agent/queue_test.go
@@ -0,0 +1,137 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cactuspost.example/internal/structs"
+)
+
+// queueBench drives one agent with divided slots; the test plays two entries.
+type queueBench struct {
+	*is.I
+	core    *Core
+	now     time.Time
+	links   []LinkID
+	effects []Effect
+}
+
+func newQueueBench(t *testing.T) *queueBench {
+	b := &queueBench{I: is.New(t), now: time.UnixMilli(1_000_000)}
+	b.core = New(Options{
+		Endpoint: "w", Incarnation: 7, Pool: "p", Slots: 20, Divided: true,
+		Capacity: structs.Needs{Millicores: 2000}, Entries: []string{"e1", "e2"},
+		Tuning: Tuning{Pause: 400 * time.Millisecond},
+	})
+	b.pass(0)
+	for _, e := range b.effects {
+		if dial, ok := e.(*Dial); ok {
+			b.links = append(b.links, dial.Link)
+		}
+	}
+	for i, link := range b.links {
+		b.step(&LinkOpened{Link: link})
+		b.step(&EntryMessage{Link: link, Message: &structs.FromEntry{Welcome: &structs.Welcome{
+			Entry: structs.Peer{Incarnation: structs.Incarnation(i + 1)},
+		}}})
+	}
+	b.step(&EndpointChanged{Up: true})
+	return b
+}
+
+func (b *queueBench) step(m Message) {
+	b.core.Step(b.now, m)
+	b.core.Flush(b.now)
+	b.effects = append(b.effects, b.core.Effects()...)
+}
+
+func (b *queueBench) pass(d time.Duration) {
+	b.now = b.now.Add(d)
+	b.core.Tick(b.now)
+	b.core.Flush(b.now)
+	b.effects = append(b.effects, b.core.Effects()...)
+}
+
+// queue sends a grant without a credit from an entry, 0 or 1.
+func (b *queueBench) queue(entry int, job uint64, slots uint32, within time.Duration) structs.GrantID {
+	id := structs.GrantID{Owner: structs.Incarnation(entry + 1), Job: job, Attempt: 1}
+	b.step(&EntryMessage{Link: b.links[entry], Message: &structs.FromEntry{Grants: []structs.Grant{
+		{ID: id, Slots: slots, Queued: true, StartWithin: within},
+	}}})
+	return id
+}
+
+func (b *queueBench) started() []uint64 {
+	var jobs []uint64
+	for _, e := range b.effects {
+		if start, ok := e.(*StartTask); ok {
+			jobs = append(jobs, start.Grant.ID.Job)
+		}
+	}
+	return jobs
+}
+
+func TestIdleCreditsAreTakenBackForAGrantThatWaits(t *testing.T) {
+	b := newQueueBench(t)
+	b.pass(2 * restTime) // both entries hold ten credits by now
+	b.queue(0, 1, 16, time.Second)
+	b.Equal(b.started(), []uint64{1})
+}
+
+func TestTheMostUrgentGrantOfAllEntriesStartsNext(t *testing.T) {
+	b := newQueueBench(t)
+	b.pass(2 * restTime)
+	first := b.queue(0, 1, 20, time.Second)
+	b.queue(0, 2, 20, time.Second)
+	b.queue(1, 3, 20, 100*time.Millisecond)
+	b.queue(1, 4, 20, -time.Millisecond) // misses its objective anyway
+	b.Equal(b.started(), []uint64{1})
+	for _, next := range [][]uint64{{1, 3}, {1, 3, 2}, {1, 3, 2, 4}} {
+		b.step(&TaskExited{Grant: first, Outcome: structs.Succeeded})
+		b.Equal(b.started(), next)
+		first = structs.GrantID{Owner: first.Owner, Job: next[len(next)-1], Attempt: 1}
+		if first.Job >= 3 {
+			first.Owner = 2
+		} else {
+			first.Owner = 1
+		}
+	}
+}
+
+func TestStartOfAQueuedGrantIsReported(t *testing.T) {
+	b := newQueueBench(t)
+	b.pass(2 * restTime)
+	id := b.queue(0, 1, 16, time.Second)
+	reported := false
+	for _, e := range b.effects {
+		if send, ok := e.(*Send); ok && len(send.Message.Started) == 1 {
+			reported = send.Message.Started[0] == id
+		}
+	}
+	b.True(reported)
+}
+
+func TestWaitingGrantIsRefusedWhenTheEndpointGoesDown(t *testing.T) {
+	b := newQueueBench(t)
+	b.pass(2 * restTime)
+	b.queue(0, 1, 20, time.Second)
+	b.queue(0, 2, 20, time.Second)
+	b.step(&EndpointChanged{Up: false})
+	refused := 0
+	for _, e := range b.effects {
+		if send, ok := e.(*Send); ok {
+			refused += len(send.Message.Refusals)
+		}
+	}
+	b.Equal(refused, 1)
+	b.Equal(len(b.core.queue), 0)
+}
+
+func TestGrantsThatWaitedDuringAPauseDoNotStart(t *testing.T) {
+	b := newQueueBench(t)
+	b.now = b.now.Add(3 * time.Second) // the process stood still; the entry gave it up
+	b.queue(0, 1, 4, time.Second)
+	b.Equal(len(b.started()), 0)
+}
--- /dev/null
+++ b/internal/agentd/keeper_test.go
@@ -0,0 +1,141 @@
+package agentd
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cactuspost.example/internal/leased"
+	"cactuspost.example/internal/logging"
+	"cactuspost.example/internal/settings"
+	"cactuspost.example/internal/structs"
+)
+
+// idleWorker answers every look and runs nothing.
+type idleWorker struct{ born int64 }
+
+func (idleWorker) Start(*leased.SendStart) leased.Verdict { return leased.Unhealthy }
+func (idleWorker) Stop(*leased.SendStop) leased.Verdict   { return leased.Done }
+func (w idleWorker) Look(m *leased.Look) (leased.Verdict, leased.Report) {
+	time.Sleep(m.Wait)
+	return leased.Done, leased.Report{Clock: time.Minute, Born: w.born}
+}
+
+// startKeeper runs a keeper whose agents are counted.
+func startKeeper(t *testing.T) (*Keeper, *atomic.Int64, chan Announcement) {
+	t.Helper()
+	built := &atomic.Int64{}
+	kept := make(chan Announcement, 16)
+	k := NewKeeper(func(a Announcement) Config {
+		built.Add(1)
+		return Config{
+			Agent:  settings.Agent{Endpoint: "w", Pool: a.Pool, Slots: 16, HTTPAddress: "127.0.0.1:0", UnackedLimit: 10},
+			Worker: idleWorker{born: a.Born}, Born: a.Born,
+		}
+	}, func(a Announcement) { kept <- a }, logging.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	go k.Run(ctx)
+	t.Cleanup(func() { cancel(); <-k.inbox.Done() })
+	return k, built, kept
+}
+
+func announcement(born int64, sequence uint64) Announcement {
+	return Announcement{Worker: "i-1", Born: born, Sequence: sequence, Pool: "p", Capacity: structs.Needs{Cores: 2}}
+}
+
+func await(t *testing.T, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !condition(); {
+		if time.Now().After(end) {
+			t.Fatal("the condition did not come true")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func TestKeeperRunsOneAgentForEachLifeOfTheWorker(t *testing.T) {
+	is := is.New(t)
+	k, built, kept := startKeeper(t)
+	k.Announce(announcement(10, 1))
+	k.Announce(announcement(10, 2))
+	is.Equal((<-kept).Sequence, uint64(1))
+	await(t, func() bool { return built.Load() == 1 })
+	k.Announce(announcement(20, 1)) // the worker was restarted under its id
+	is.Equal((<-kept).Born, int64(20))
+	await(t, func() bool { return built.Load() == 2 })
+	k.Announce(announcement(10, 3)) // late, of the life that has ended
+	draining := announcement(20, 2)
+	draining.Draining = true
+	k.Announce(draining)
+	is.True((<-kept).Draining)
+	k.Announce(announcement(30, 1))
+	await(t, func() bool { return built.Load() == 3 })
+	k.Stop()
+	<-k.inbox.Done()
+}
+
+func TestRememberedWorkerIsServedUntilAHeartbeatSaysOtherwise(t *testing.T) {
+	k, built, _ := startKeeper(t)
+	k.Announce(announcement(20, 0)) // from the store
+	await(t, func() bool { return built.Load() == 1 })
+	k.Announce(announcement(20, 7)) // the same life: the agent goes on
+	k.Announce(announcement(30, 1))
+	await(t, func() bool { return built.Load() == 2 })
+}
+
+func TestRememberedWorkerComesTooLateAfterAHeartbeat(t *testing.T) {
+	is := is.New(t)
+	newer, older := announcement(30, 1), announcement(20, 0)
+	is.True(!older.follows(newer))
+	is.True(!announcement(40, 0).follows(newer)) // a memory never replaces what was heard
+	is.True(older.follows(Announcement{}))
+}
+
+// rows is a store of one row.
+type rows struct {
+	value atomic.Pointer[[]byte]
+}
+
+func (r *rows) Get(context.Context, string, string) ([]byte, error) {
+	if v := r.value.Load(); v != nil {
+		return *v, nil
+	}
+	return nil, nil
+}
+
+func (r *rows) Put(_ context.Context, _, _ string, value []byte) error {
+	r.value.Store(&value)
+	return nil
+}
+
+func TestMemoryRecallsWhatAPredecessorKept(t *testing.T) {
+	is := is.New(t)
+	store := &rows{}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	first := NewMemory(store, "w", logging.Discard())
+	go first.Run(ctx, func(Announcement) bool { t.Error("nothing was kept yet"); return true })
+	first.Keep(announcement(20, 4))
+	await(t, func() bool { return store.value.Load() != nil })
+
+	recalled := make(chan Announcement, 1)
+	go NewMemory(store, "w", logging.Discard()).Run(ctx, func(a Announcement) bool { recalled <- a; return true })
+	got := <-recalled
+	is.Equal(got.Born, int64(20))
+	is.Equal(got.Sequence, uint64(0))
+
+	leaving := announcement(20, 5)
+	leaving.Draining = true
+	first.Keep(leaving)
+	await(t, func() bool {
+		var a Announcement
+		return json.Unmarshal(*store.value.Load(), &a) == nil && a.Draining
+	})
+	third := NewMemory(store, "w", logging.Discard())
+	third.ctx = ctx
+	third.recall(func(Announcement) bool { t.Error("a leaving worker was recalled"); return true })
+}
--- /dev/null
+++ b/internal/dispatch/attached_test.go
@@ -0,0 +1,224 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cactuspost.example/internal/failure"
+	"cactuspost.example/internal/structs"
+)
+
+// newTimedBench has one service whose tasks may be repeated and whose jobs have a
+// response objective.
+func newTimedBench(t *testing.T) *bench {
+	b := newBench(t)
+	b.core = New(Options{Self: structs.Peer{Incarnation: 9}, Seed: 1, Tuning: Tuning{
+		Estimates: Declared, LongTask: time.Hour, QueueDepth: 1, AgentGrace: 500 * time.Millisecond,
+	}})
+	doc := benchDocument()
+	doc.Services["s"] = structs.Service{
+		Pool: "p", StartObjective: 60, Lifetime: 20_000, MaxTasks: 100, MaxTaskBytes: 10,
+		Repeatable: true, MaxAttempts: 3, Stretch: 1.5, Margin: 100, UsefulFor: 3,
+	}
+	b.step(&Configure{Document: doc})
+	return b
+}
+
+// dividedWorker connects an agent whose slots are shares of its capacity.
+func (b *bench) dividedWorker(link LinkID, incarnation structs.Incarnation, slots uint32) {
+	b.step(&AgentMessage{Link: link, Message: &structs.FromAgent{Hello: &structs.Hello{
+		Endpoint: fmt.Sprintf("w%d", link%100), Incarnation: incarnation, Connection: uint64(link), Session: 1,
+		Pool: "p", Slots: slots, Capacity: structs.Needs{Millicores: slots * 100, MemoryMB: 1000}, Divided: true,
+	}}})
+	b.step(&AgentMessage{Link: link, Message: &structs.FromAgent{Offered: structs.Credits{Any: slots}}})
+}
+
+func (b *bench) runJob(name string, tasks int, millicores uint32) ReplyID {
+	b.reply++
+	s := structs.Submission{Name: name, Team: "a", Service: "s", Needs: structs.Needs{Millicores: millicores}}
+	for i := range tasks {
+		s.Tasks = append(s.Tasks, structs.Task{Kind: "k", Declared: 100 * time.Millisecond, Name: fmt.Sprintf("%s.%d", name, i)})
+	}
+	b.step(&RunJob{Reply: b.reply, Submission: s, Patience: 10 * time.Second})
+	return b.reply
+}
+
+func (b *bench) result(link LinkID, g structs.Grant, outcome structs.Outcome) {
+	b.step(&AgentMessage{Link: link, Message: &structs.FromAgent{Results: []structs.Result{{Grant: g.ID, Outcome: outcome}}}})
+}
+
+func TestTaskTakesItsShareOfAWorker(t *testing.T) {
+	b := newTimedBench(t)
+	b.dividedWorker(1, 1, 40)
+	b.runJob("a", 3, 1500)
+	granted := b.grants()
+	b.Equal(len(granted), 3)
+	b.Equal(granted[0].Slots, uint32(15))
+	b.Equal(granted[1].Queued, false)
+	b.Equal(granted[2].Queued, true) // 10 of 40 slots are left
+}
+
+func TestFailedTaskIsRepeatedUpToItsAttempts(t *testing.T) {
+	b := newTimedBench(t)
+	b.dividedWorker(1, 1, 40)
+	b.runJob("a", 1, 1000)
+	for range 2 {
+		g := b.grants()[0]
+		b.result(1, g, structs.Errored)
+		b.step(&AgentMessage{Link: 1, Message: &structs.FromAgent{Offered: structs.Credits{Any: 10}}})
+	}
+	b.result(1, b.grants()[0], structs.Errored)
+	answer := last[*Answered](b).Answer
+	b.Equal(answer.State, structs.JobFailed)
+	b.Equal(answer.Failure.Kind, failure.TaskFailed)
+}
+
+func TestLostRunIsNoAttemptAndNoRefusalIsCalledNotRun(t *testing.T) {
+	b := newTimedBench(t)
+	doc := *b.core.doc
+	service := doc.Services["s"]
+	service.MaxAttempts = 1
+	doc.Revision, doc.Services = 2, map[string]structs.Service{"s": service}
+	b.step(&Configure{Document: &doc})
+	b.dividedWorker(1, 1, 40)
+	b.runJob("a", 1, 1000)
+	for range 2 {
+		b.result(1, b.grants()[0], structs.Lost)
+		b.step(&AgentMessage{Link: 1, Message: &structs.FromAgent{Offered: structs.Credits{Any: 10}}})
+	}
+	b.Equal(len(b.grants()), 1)
+	b.step(&LinkClosed{Link: 1}) // no worker is left
+	b.pass(20 * time.Second)
+	b.Equal(last[*Answered](b).Answer.Failure.Run, failure.Ran)
+}
+
+func TestLostAgentsTasksRunElsewhereOnlyAfterItsGrace(t *testing.T) {
+	b := newTimedBench(t)
+	b.dividedWorker(1, 1, 40)
+	b.runJob("a", 1, 1000)
+	b.Equal(len(b.grants()), 1)
+	b.dividedWorker(2, 2, 40)
+	b.step(&LinkClosed{Link: 1})
+	b.pass(400 * time.Millisecond)
+	b.Equal(len(b.grants()), 0) // it may still run there
+	b.pass(200 * time.Millisecond)
+	b.Equal(len(b.grants()), 1)
+}
+
+func TestGrantsThatWereGivenUpAreStoppedWhenTheAgentComesBack(t *testing.T) {
+	b := newTimedBench(t)
+	b.dividedWorker(1, 1, 40)
+	b.runJob("a", 1, 1000)
+	held := b.grants()[0].ID
+	b.step(&LinkClosed{Link: 1})
+	b.pass(time.Second)
+	b.step(&AgentMessage{Link: 101, Message: &structs.FromAgent{Hello: &structs.Hello{
+		Endpoint: "w1", Incarnation: 1, Connection: 101, Session: 1, Pool: "p", Slots: 40, Divided: true,
+		Capacity: structs.Needs{Millicores: 4000}, Held: []structs.GrantID{held},
+	}}})
+	cancelled := false
+	for _, e := range b.effects {
+		if send, ok := e.(*Send); ok {
+			for _, id := range send.Message.Cancels {
+				cancelled = cancelled || id == held
+			}
+		}
+	}
+	b.True(cancelled)
+}
+
+func TestJobEndsWithItsCaller(t *testing.T) {
+	b := newTimedBench(t)
+	b.dividedWorker(1, 1, 40)
+	reply := b.runJob("a", 1, 1000)
+	id := b.grants()[0].ID
+	b.step(&AbandonReply{Reply: reply})
+	b.Equal(last[*Answered](b).Answer.Failure.Kind, failure.Cancelled)
+	b.Equal(last[*Send](b).Message.Cancels, []structs.GrantID{id})
+}
+
+func TestSameNameJoinsTheOpenJob(t *testing.T) {
+	b := newTimedBench(t)
+	b.dividedWorker(1, 1, 40)
+	first, second := b.runJob("a", 1, 1000), b.runJob("a", 1, 1000)
+	granted := b.grants()
+	b.Equal(len(granted), 1)
+	b.step(&AbandonReply{Reply: first}) // the other caller still waits
+	b.result(1, granted[0], structs.Succeeded)
+	answer := last[*Answered](b)
+	b.Equal(answer.Reply, second)
+	b.Equal(answer.Answer.State, structs.JobComplete)
+}
+
+func TestStepWaitsForTheOneBefore(t *testing.T) {
+	b := newTimedBench(t)
+	b.dividedWorker(1, 1, 40)
+	s := structs.Submission{Name: "a", Team: "a", Service: "s", Needs: structs.Needs{Millicores: 1000}}
+	s.Tasks = []structs.Task{{Kind: "k", Name: "first"}, {Kind: "k", Name: "second", Step: 1}}
+	s.Steps = []structs.Step{{}, {After: []int{0}}}
+	b.step(&RunJob{Reply: 1, Submission: s, Patience: 10 * time.Second})
+	granted := b.grants()
+	b.Equal(len(granted), 1)
+	b.result(1, granted[0], structs.Succeeded)
+	granted = b.grants()
+	b.Equal(granted[0].Name, "second")
+	b.result(1, granted[0], structs.Succeeded)
+	b.Equal(last[*Answered](b).Answer.State, structs.JobComplete)
+}
+
+func TestJobWaitsForWorkersRightAfterTheStart(t *testing.T) {
+	b := newTimedBench(t)
+	b.runJob("a", 1, 1000)
+	b.True(last[*Refused](b) == nil)
+	b.pass(50 * time.Millisecond)
+	b.dividedWorker(1, 1, 40)
+	b.Equal(len(b.grants()), 1)
+	b.pass(warmUp)
+	b.step(&LinkClosed{Link: 1})
+	b.pass(time.Second)
+	b.runJob("b", 1, 1000)
+	b.Equal(last[*Refused](b).Failure.Run, failure.NotRun)
+}
+
+func TestUselessJobIsShedAndNeverRuns(t *testing.T) {
+	b := newTimedBench(t)
+	b.dividedWorker(1, 1, 10)
+	b.runJob("a", 1, 1000)
+	b.Equal(len(b.grants()), 1)
+	b.core.tuning.QueueDepth = 0 // nothing waits at the agent
+	b.runJob("b", 1, 1000)
+	b.pass(3 * 250 * time.Millisecond)
+	answer := last[*Answered](b).Answer
+	b.Equal(answer.Failure.Run, failure.NotRun)
+	b.True(answer.Failure.RetryAfter > 0)
+	b.step(&AgentMessage{Link: 1, Message: &structs.FromAgent{Offered: structs.Credits{Any: 10}}})
+	b.Equal(len(b.grants()), 0)
+}
+
+func TestJobKeepsOffWorkersTooSlowForItsObjective(t *testing.T) {
+	b := newTimedBench(t)
+	b.dividedWorker(1, 1, 10)
+	b.dividedWorker(2, 2, 10)
+	b.core.sessions["w2"].logSlowness = 1 // 272 ms for 250 ms allowed
+	b.core.pool("p").rank()
+	b.core.tuning.QueueDepth = 0
+	b.runJob("a", 2, 1000)
+	b.Equal(len(b.grants()), 1)
+	b.pass(160 * time.Millisecond) // too late for the fast one, too
+	b.Equal(len(b.grants()), 1)
+}
+
+func TestNothingIsGrantedRightAfterAPause(t *testing.T) {
+	b := newTimedBench(t)
+	b.dividedWorker(1, 1, 40)
+	reply := b.runJob("a", 1, 1000)
+	b.grants()
+	b.now = b.now.Add(2 * time.Second) // the process stood still
+	b.step(&LinkClosed{Link: 1})
+	b.dividedWorker(101, 1, 40) // the agent holds nothing any more
+	b.Equal(len(b.grants()), 0)
+	b.step(&AbandonReply{Reply: reply}) // the caller had left meanwhile
+	b.pass(time.Second)
+	b.Equal(len(b.grants()), 0)
+}
--- /dev/null
+++ b/internal/ingress/server_test.go
@@ -0,0 +1,140 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"cactuspost.example/internal/logging"
+)
+
+// startServer runs a server with a free port.
+func startServer(t *testing.T, h Handler, limits Limits) (*Server, string) {
+	t.Helper()
+	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	address := probe.Addr().String()
+	_ = probe.Close()
+	s, err := Start(Options{Addresses: []string{address}, Handler: h, Limits: func() Limits { return limits }, Log: logging.Discard()})
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
+	return s, address
+}
+
+func echo(request *fasthttp.Request, response *fasthttp.Response, _ <-chan time.Time) {
+	response.SetBody(request.Body())
+}
+
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	return conn, bufio.NewReader(conn)
+}
+
+func read(t *testing.T, r *bufio.Reader) *fasthttp.Response {
+	t.Helper()
+	var response fasthttp.Response
+	is.New(t).NoErr(response.Read(r))
+	return &response
+}
+
+func TestRequestsInPiecesAndInOnePacket(t *testing.T) {
+	is := is.New(t)
+	_, address := startServer(t, echo, Limits{})
+	conn, r := dial(t, address)
+	for _, piece := range []string{"POST /a HT", "TP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhe", "llo"} {
+		_, _ = conn.Write([]byte(piece))
+		time.Sleep(20 * time.Millisecond)
+	}
+	is.Equal(string(read(t, r).Body()), "hello")
+	_, _ = conn.Write([]byte(strings.Repeat("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab", 2)))
+	is.Equal(string(read(t, r).Body()), "ab")
+	is.Equal(string(read(t, r).Body()), "ab")
+}
+
+func TestChunkedBody(t *testing.T) {
+	_, address := startServer(t, echo, Limits{})
+	conn, r := dial(t, address)
+	_, _ = conn.Write([]byte("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"))
+	time.Sleep(20 * time.Millisecond)
+	_, _ = conn.Write([]byte("0\r\n\r\n"))
+	is.New(t).Equal(string(read(t, r).Body()), "abc")
+}
+
+func TestRequestsOverTheLimitsAreRefused(t *testing.T) {
+	limits := Limits{HeaderBytes: 200, BodyBytes: 10, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: time.Minute}
+	for name, c := range map[string]struct {
+		bytes  string
+		status int
+	}{
+		"header":  {"GET /" + strings.Repeat("a", 300), fasthttp.StatusRequestHeaderFieldsTooLarge},
+		"body":    {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n", fasthttp.StatusRequestEntityTooLarge},
+		"garbage": {"\x00\x01\x02 nothing\r\n\r\n", fasthttp.StatusBadRequest},
+		"slow":    {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab", fasthttp.StatusRequestTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, address := startServer(t, echo, limits)
+			conn, r := dial(t, address)
+			_, _ = conn.Write([]byte(c.bytes))
+			is.New(t).Equal(read(t, r).StatusCode(), c.status)
+		})
+	}
+}
+
+func TestIdleConnectionIsClosed(t *testing.T) {
+	_, address := startServer(t, echo, Limits{IdleTimeout: 300 * time.Millisecond})
+	_, r := dial(t, address)
+	_, err := r.ReadByte()
+	is.New(t).True(err != nil)
+}
+
+func TestHandlerHearsThatTheClientHasLeft(t *testing.T) {
+	heard := make(chan struct{})
+	began := make(chan struct{})
+	_, address := startServer(t, func(_ *fasthttp.Request, _ *fasthttp.Response, left <-chan time.Time) {
+		close(began)
+		<-left
+		close(heard)
+	}, Limits{})
+	conn, _ := dial(t, address)
+	_, _ = fmt.Fprint(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-began
+	_ = conn.Close()
+	select {
+	case <-heard:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the handler was not told")
+	}
+}
+
+func TestShutdownAnswersWhatIsInProgress(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	began := make(chan struct{})
+	s, address := startServer(t, func(_ *fasthttp.Request, response *fasthttp.Response, _ <-chan time.Time) {
+		close(began)
+		<-release
+		response.SetBodyString("whole")
+	}, Limits{})
+	conn, r := dial(t, address)
+	_, _ = fmt.Fprint(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-began
+	s.Leave()
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(context.Background()) }()
+	close(release)
+	response := read(t, r)
+	is.Equal(string(response.Body()), "whole")
+	is.True(response.ConnectionClose())
+	is.NoErr(<-done)
+}
