--- a/cmd/cactuspost-node/entry.go
+++ b/cmd/cactuspost-node/entry.go
@@ -72,7 +72,7 @@
 		Heartbeat: s.Heartbeat, SilentBeats: s.SilentBeats,
 		NewCore: func(self structs.Peer, seed uint64) entryd.Core {
 			return dispatch.New(dispatch.Options{Self: self, Seed: seed, Tuning: dispatch.Tuning{
-				AgentGrace: s.AgentGrace, Estimates: dispatch.Declared, LongTask: longTask, QueueDepth: queueDepth,
+				AgentGrace: s.AgentGrace, Estimates: dispatch.Declared, LongTask: longTask, LeaveAccept: s.DrainTimeout / 2, LeaveEnd: s.DrainTimeout - lastAnswers, QueueDepth: queueDepth,
 			}})
 		},
 		NewIngress: func(g *entryd.Gateway) (entryd.Ingress, error) { return platform.StartFront(p, g, n.log) },
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -75,7 +75,7 @@
 }
 
 func (c *Core) checkSubmission(j *job, s *structs.Submission) *failure.Failure {
-	if c.leaving() {
+	if c.leaving() && !j.attached {
 		return drainingFailure()
 	}
 	service, f := c.service(j.team, j.service)
--- a/internal/dispatch/attached.go
+++ b/internal/dispatch/attached.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
 	"cactuspost.example/internal/structs"
 )
@@ -18,6 +19,9 @@
 	// warmUp is how long after its start an entry keeps jobs although it knows no
 	// worker: agents dial within a fraction of that.
 	warmUp = 2 * time.Second
+	// leaveMargin is the multiple of its estimate that a job at a leaving entry may
+	// take.
+	leaveMargin = 4
 	// widthSpread is how much longer the longest of several like tasks runs than
 	// a typical one, for each doubling of their number.
 	widthSpread = 0.2
@@ -34,6 +38,7 @@
 	}
 	if f := c.checkRun(m); f != nil {
 		c.stats.JobsRefused++
+		c.emit(&Happened{Event: event.JobRefused, Request: m.Submission.Name, Detail: f.Error()})
 		c.refuse(m.Reply, f)
 		return
 	}
@@ -49,7 +54,7 @@
 }
 
 func (c *Core) checkRun(m *RunJob) *failure.Failure {
-	if c.leaving() {
+	if c.leaving() && !c.endsInTime(m) {
 		return drainingFailure()
 	}
 	if _, f := c.service(m.Submission.Team, m.Submission.Service); f != nil {
@@ -61,6 +66,16 @@
 	return nil
 }
 
+// endsInTime reports whether a job that comes to a leaving entry ends before it
+// has to be gone, by a wide margin for the error of the estimate.
+func (c *Core) endsInTime(m *RunJob) bool {
+	since := c.now.Sub(c.leavingSince)
+	if c.doc == nil || since > c.tuning.LeaveAccept {
+		return false
+	}
+	return since+leaveMargin*c.longestChain(m.Submission.Service, &m.Submission) < c.tuning.LeaveEnd
+}
+
 // setObjective works out when the job's longest chain of tasks has to start.
 func (c *Core) setObjective(j *job, s *structs.Submission) {
 	service := c.serviceOf(j.service)
@@ -166,6 +181,9 @@
 	return j.timed() && now.Add(p.fastest(j)).After(j.endBy)
 }
 
+// hopelessAt reports whether an answer is of no use any more.
+func (j *job) hopelessAt(now time.Time) bool { return now.After(j.endBy) }
+
 // fastest estimates the run time of the job's longest chain on the pool's
 // fastest worker.
 func (p *pool) fastest(j *job) time.Duration {
--- a/internal/dispatch/charts.go
+++ b/internal/dispatch/charts.go
@@ -54,12 +54,14 @@
 	Unlisted  chart.Event `chart:"unlisted"`
 	AgentGone chart.Event `chart:"agent_gone"`
 	JobOver   chart.Event `chart:"job_over"`
+	Recall    chart.Event `chart:"recall"`
 }
 
 var taskStates struct {
 	Waiting   chart.State `chart:"waiting"`
 	Granted   chart.State `chart:"granted"`
 	Uncertain chart.State `chart:"uncertain"`
+	Recalled  chart.State `chart:"recalled"`
 	Stopping  chart.State `chart:"stopping"`
 	Done      chart.State `chart:"done"`
 	Failed    chart.State `chart:"failed"`
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -42,6 +42,8 @@
 	waiters  map[ReplyID]*job
 	// named holds the open jobs of callers who wait for them, by their names.
 	named map[string]*job
+	// leavingSince is when the planned stop began.
+	leavingSince time.Time
 	// startedAt is when the first input came.
 	startedAt time.Time
 	// resumeAt is when grants go on after a pause of this process.
@@ -120,6 +122,7 @@
 	case *SetPeers:
 		c.setPeers(m.Peers)
 	case *Stop:
+		c.leavingSince = c.now
 		c.drain.Stop()
 	case *Inspect:
 		c.emit(&Inspected{Reply: m.Reply, View: c.view()})
@@ -154,7 +157,7 @@
 		c.requestCredits(p)
 		c.flushPool(p)
 	}
-	if c.openJobs == 0 && c.undelivered == 0 {
+	if c.openJobs == 0 && c.undelivered == 0 && c.now.Sub(c.leavingSince) >= c.tuning.LeaveAccept {
 		c.drain.Idle()
 	}
 }
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -85,6 +85,7 @@
 	for _, id := range started {
 		if t := s.granted[id]; t != nil {
 			t.leaveAgentQueue()
+			t.grantedAt = c.now
 		}
 	}
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -293,6 +293,7 @@
 	if s.health == healthStates.Probation && !c.now.Before(s.coolingEnd) {
 		c.fireHealth(s, healthEvents.Cooled)
 	}
+	c.suspect(s)
 	for _, t := range s.granted {
 		if elapsed := c.now.Sub(t.grantedAt); elapsed > c.estimate(t.kind, t.declared) {
 			t.kind.overran(elapsed)
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -27,6 +27,8 @@
 	// uses none and waits at the agent.
 	slots   int
 	inQueue bool
+	// overran says that the present run takes far longer than foretold.
+	overran bool
 	// errors counts the runs that ended with an error of their own, avoided is
 	// the worker of the last of them.
 	errors   int
@@ -136,6 +138,7 @@
 	t.attempt++
 	t.holder = holder
 	t.grantedAt = c.now
+	t.overran = false
 	holder.granted[t.grantID()] = t
 	holder.pool.running++
 	holder.pool.busy += t.slots
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -31,6 +31,10 @@
 	// QueueDepth is the number of grants without a credit that may wait at an
 	// agent with divided slots.
 	QueueDepth int
+	// LeaveAccept is how long an entry that is leaving still takes jobs of waiting
+	// callers, LeaveEnd how long these may take; both count from Stop.
+	LeaveAccept time.Duration
+	LeaveEnd    time.Duration
 	// MaxWaitingBytes bounds the payloads that wait at this entry.
 	MaxWaitingBytes int
 	// MaxJobs bounds the job ids that are remembered.
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -27,6 +27,7 @@
 	JobFailed           ID = 1043
 	TaskGranted         ID = 1044
 	TaskReturned        ID = 1045
+	TaskOverran         ID = 1046
 )
 
 var entryEvents = []Description{
@@ -55,4 +56,5 @@
 	{JobFailed, Warning, "job failed", "A job ended without an answer; the fields give the reason and what became of its tasks.", "Follow the job's tasks to the cause."},
 	{TaskGranted, Info, "task granted", "A task was handed to the agent of a worker; the fields say what was known of the worker.", "None."},
 	{TaskReturned, Warning, "task returned", "A granted task waits again: its run was refused, lost, stopped or failed.", "Look at the worker if it repeats."},
+	{TaskOverran, Warning, "task overran", "A run takes far longer than foretold; it counts against its worker, which gets no work if there are several.", "Look at the worker if it repeats."},
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -56,7 +56,9 @@
 	// open counts the requests in progress.
 	open   atomic.Int64
 	booted chan struct{}
-	ended  chan error
+	// ended is closed when the server has stopped, for the reason in fault.
+	ended chan struct{}
+	fault error
 	// connections belong to the event loop.
 	connections map[*connection]bool
 }
@@ -64,13 +66,13 @@
 // Start listens on the addresses. It returns a failure of kind Internal when one
 // can't be had.
 func Start(o Options) (*Server, error) {
-	s := &Server{options: o, booted: make(chan struct{}), ended: make(chan error, 1), connections: map[*connection]bool{}}
+	s := &Server{options: o, booted: make(chan struct{}), ended: make(chan struct{}), connections: map[*connection]bool{}}
 	go s.run()
 	select {
 	case <-s.booted:
 		return s, nil
-	case err := <-s.ended:
-		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "listen for clients")
+	case <-s.ended:
+		return nil, failure.Wrap(s.fault, failure.Internal, failure.NotRun, "listen for clients")
 	}
 }
 
@@ -85,7 +87,8 @@
 	if err != nil {
 		s.options.Log.Event(event.ActorFailed, zap.String("part", "ingress"), zap.String("error", err.Error()))
 	}
-	s.ended <- err
+	s.fault = err
+	close(s.ended)
 }
 
 // Leave asks clients to open no more requests on their connections.
@@ -105,7 +108,9 @@
 		case <-ctx.Done():
 		}
 	}
-	return s.engine.Stop(context.Background())
+	go func() { _ = s.engine.Stop(context.Background()) }()
+	<-s.ended
+	return s.fault
 }
 
 // OnBoot is called by gnet when the server listens.
--- a/spec/gen/task.pml
+++ b/spec/gen/task.pml
@@ -5,9 +5,10 @@
 #define task_ended 2
 #define task_failed 3
 #define task_granted 4
-#define task_stopping 5
-#define task_uncertain 6
-#define task_waiting 7
+#define task_recalled 5
+#define task_stopping 6
+#define task_uncertain 7
+#define task_waiting 8
 #define task_initial task_waiting
 #define task_is_final(state) ((state) == task_done || (state) == task_failed || (state) == task_dropped || (state) == task_ended)
 #define task_fire(self, event) task_on_##event(self)
@@ -27,6 +28,19 @@
       task_do_record_loss(self);
       task_state[self] = task_failed
     fi
+  :: task_state[self] == task_recalled ->
+    if
+    :: task_if_repeatable(self) ->
+      task_do_note_return(self);
+      task_do_count_error(self);
+      task_do_release_grant(self);
+      task_do_requeue(self);
+      task_state[self] = task_waiting
+    :: else ->
+      task_do_release_grant(self);
+      task_do_record_loss(self);
+      task_state[self] = task_failed
+    fi
   :: task_state[self] == task_stopping ->
     task_do_release_grant(self);
     task_state[self] = task_ended
@@ -62,6 +76,19 @@
       task_do_record_failure(self);
       task_state[self] = task_failed
     fi
+  :: task_state[self] == task_recalled ->
+    if
+    :: task_if_may_repeat(self) ->
+      task_do_note_return(self);
+      task_do_count_error(self);
+      task_do_release_grant(self);
+      task_do_requeue(self);
+      task_state[self] = task_waiting
+    :: else ->
+      task_do_release_grant(self);
+      task_do_record_failure(self);
+      task_state[self] = task_failed
+    fi
   :: task_state[self] == task_stopping ->
     task_do_release_grant(self);
     task_state[self] = task_ended
@@ -83,6 +110,8 @@
   :: task_state[self] == task_granted ->
     task_do_send_cancel(self);
     task_state[self] = task_stopping
+  :: task_state[self] == task_recalled ->
+    task_state[self] = task_stopping
   :: task_state[self] == task_uncertain ->
     task_state[self] = task_stopping
   :: task_state[self] == task_waiting ->
@@ -96,6 +125,8 @@
   if
   :: task_state[self] == task_granted ->
     task_state[self] = task_uncertain
+  :: task_state[self] == task_recalled ->
+    task_state[self] = task_uncertain
   :: else -> skip
   fi
 }
@@ -111,6 +142,15 @@
   fi
 }
 
+inline task_on_recall(self) {
+  if
+  :: task_state[self] == task_granted ->
+    task_do_send_cancel(self);
+    task_state[self] = task_recalled
+  :: else -> skip
+  fi
+}
+
 inline task_on_refused(self) {
   if
   :: task_state[self] == task_granted ->
@@ -118,6 +158,11 @@
     task_do_release_grant(self);
     task_do_requeue(self);
     task_state[self] = task_waiting
+  :: task_state[self] == task_recalled ->
+    task_do_note_return(self);
+    task_do_release_grant(self);
+    task_do_requeue(self);
+    task_state[self] = task_waiting
   :: task_state[self] == task_stopping ->
     task_do_release_grant(self);
     task_state[self] = task_dropped
@@ -131,6 +176,10 @@
     task_do_release_grant(self);
     task_do_keep_result(self);
     task_state[self] = task_done
+  :: task_state[self] == task_recalled ->
+    task_do_release_grant(self);
+    task_do_keep_result(self);
+    task_state[self] = task_done
   :: task_state[self] == task_stopping ->
     task_do_release_grant(self);
     task_state[self] = task_ended
