Runs that overrun on a silent worker are repeated elsewhere; a leaving entry goes on serving

Runs that take over three times their estimate now count as failures of their worker, and those on a worker that lost its work for that are stopped and repeated.

Ruled out: recalling every run over a multiple of its estimate (one in twenty takes as long by itself).

--- a/internal/dispatch/attached_test.go
+++ b/internal/dispatch/attached_test.go
@@ -222,3 +222,56 @@
 	b.pass(time.Second)
 	b.Equal(len(b.grants()), 0)
 }
+
+func TestOverrunningRunsOfASilentWorkerAreRepeatedElsewhere(t *testing.T) {
+	b := newTimedBench(t)
+	b.dividedWorker(1, 1, 40)
+	for _, name := range []string{"a", "b", "c"} {
+		b.runJob(name, 1, 1000)
+	}
+	b.Equal(len(b.grants()), 3)
+	b.dividedWorker(2, 2, 40)
+	b.pass(500 * time.Millisecond) // estimated at 100 ms each
+	cancels := 0
+	for _, e := range b.effects {
+		if send, ok := e.(*Send); ok {
+			cancels += len(send.Message.Cancels)
+			for _, id := range send.Message.Cancels {
+				b.step(&AgentMessage{Link: 1, Message: &structs.FromAgent{Results: []structs.Result{{Grant: id, Outcome: structs.Stopped}}}})
+			}
+		}
+	}
+	b.Equal(cancels, 3)
+	b.Equal(len(b.grants()), 3) // on the other worker
+}
+
+func TestOneOverrunningRunIsLeftAlone(t *testing.T) {
+	b := newTimedBench(t)
+	b.dividedWorker(1, 1, 40)
+	b.runJob("a", 1, 1000)
+	b.grants()
+	b.pass(500 * time.Millisecond)
+	for _, e := range b.effects {
+		if send, ok := e.(*Send); ok {
+			b.Equal(len(send.Message.Cancels), 0)
+		}
+	}
+}
+
+func TestLeavingEntryTakesJobsThatEndInTime(t *testing.T) {
+	b := newTimedBench(t)
+	b.core.tuning.LeaveAccept = time.Second
+	b.core.tuning.LeaveEnd = 2 * time.Second
+	b.dividedWorker(1, 1, 40)
+	b.step(&Stop{})
+	b.runJob("a", 1, 1000)
+	granted := b.grants()
+	b.Equal(len(granted), 1)
+	b.result(1, granted[0], structs.Succeeded)
+	b.pass(500 * time.Millisecond)
+	b.True(last[*Drained](b) == nil) // more may come
+	b.pass(600 * time.Millisecond)
+	b.True(last[*Drained](b) != nil)
+	b.runJob("b", 1, 1000)
+	b.Equal(last[*Refused](b).Failure.Kind, failure.Draining)
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -43,6 +43,10 @@
 	Log    *logging.Logger
 }
 
+// idleWhileLeaving is how long a server that is leaving keeps connections without
+// a request: a balancer has stopped sending new ones by then.
+const idleWhileLeaving = 2 * time.Second
+
 // tickPeriod is the resolution of the timeouts.
 const tickPeriod = 250 * time.Millisecond
 
@@ -51,8 +55,10 @@
 	gnet.BuiltinEventEngine
 	options Options
 	engine  gnet.Engine
-	// leaving closes connections after their next answer.
-	leaving atomic.Bool
+	// leaving closes connections after their next answer; leavingSince is when
+	// that began, and belongs to the event loop.
+	leaving      atomic.Bool
+	leavingSince time.Time
 	// open counts the requests in progress.
 	open   atomic.Int64
 	booted chan struct{}
@@ -148,6 +154,12 @@
 func (s *Server) OnTick() (time.Duration, gnet.Action) {
 	limits := s.options.Limits()
 	now := time.Now()
+	if s.leaving.Load() && s.leavingSince.IsZero() {
+		s.leavingSince = now
+	}
+	if !s.leavingSince.IsZero() && now.Sub(s.leavingSince) > idleWhileLeaving {
+		limits.IdleTimeout = tickPeriod
+	}
 	for c := range s.connections {
 		c.tick(now, limits)
 	}
