explain: one request's story from the logs; no waiting grant to an agent that refused one

Ruled out: credits that only one side counts (no such refusal had a credit). Change: an agent that refused a waiting grant gets none for 100 ms. The command explain prints a request's lines over all processes with the cause last.

--- a/cmd/cactuspost-node/main.go
+++ b/cmd/cactuspost-node/main.go
@@ -83,9 +83,8 @@
 	if err != nil {
 		return err
 	}
-	lines, bounded := logging.NewBounded(os.Stdout, own.LogLevel)
+	log, bounded := logging.NewBounded(os.Stdout, own.LogLevel, zap.String("role", role), zap.String("node", given.Node))
 	defer bounded.Close(lastLines)
-	log := lines.With(zap.String("role", role), zap.String("node", given.Node))
 	stops := make(chan os.Signal, 1)
 	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 	go reload(log)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -55,6 +55,7 @@
 		applyCommand(),
 		notesCommand(),
 		reportCommand(),
+		explainCommand(),
 		devCommand(),
 		demoCommand(),
 	}
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,62 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"cactuspost.example/internal/explain"
+	"cactuspost.example/internal/failure"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell the story of one request from the logs, its cause last",
+		ArgsUsage: "ID LOG [LOG ...]",
+		Description: "ID is the caller's name of the request or the system's id of the job. The logs\n" +
+			"may be of any processes, in any order, rotated or cut off; what is missing is said.\n\n" +
+			"Example:\n  cactuspost explain 9f0c1a2b3c4d5e6f entry-1.log entry-2.log agent-*.log",
+		Action: runExplain,
+	}
+}
+
+func runExplain(_ context.Context, cmd *cli.Command) error {
+	args := cmd.Args().Slice()
+	if len(args) < 2 {
+		return usage("an id and at least one log are needed")
+	}
+	var lines []explain.Line
+	broken := 0
+	for _, name := range args[1:] {
+		read, cut, err := readLog(name)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, read...)
+		broken += cut
+	}
+	story := explain.Tell(args[0], lines)
+	if broken > 0 {
+		story.Missing = append(story.Missing, fmt.Sprintf("%d lines that are cut off", broken))
+	}
+	if err := story.Write(cmd.Root().Writer); err != nil {
+		return failure.Wrap(err, failure.Internal, failure.NotRun, "write the story")
+	}
+	return nil
+}
+
+func readLog(name string) ([]explain.Line, int, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, 0, failure.Wrap(err, failure.Invalid, failure.NotRun, "open the log")
+	}
+	defer file.Close()
+	lines, broken, err := explain.Read(file)
+	if err != nil {
+		return nil, 0, failure.Wrap(err, failure.Invalid, failure.NotRun, "read the log "+name)
+	}
+	return lines, broken, nil
+}
--- a/internal/dispatch/attached_test.go
+++ b/internal/dispatch/attached_test.go
@@ -275,3 +275,19 @@
 	b.runJob("b", 1, 1000)
 	b.Equal(last[*Refused](b).Failure.Kind, failure.Draining)
 }
+
+func TestAgentThatRefusedAWaitingGrantGetsNoneForAWhile(t *testing.T) {
+	b := newTimedBench(t)
+	b.dividedWorker(1, 1, 40)
+	b.step(&AgentMessage{Link: 1, Message: &structs.FromAgent{Revoked: structs.Credits{Any: 40}}}) // its endpoint is down
+	b.runJob("a", 1, 1000)
+	granted := b.grants()
+	b.Equal(len(granted), 1)
+	b.step(&AgentMessage{Link: 1, Message: &structs.FromAgent{
+		Refusals: []structs.Refusal{{Grant: granted[0].ID, Reason: structs.EndpointDown}},
+	}})
+	b.pass(queuePause / 2)
+	b.Equal(len(b.grants()), 0)
+	b.pass(queuePause)
+	b.Equal(len(b.grants()), 1)
+}
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -136,6 +136,10 @@
 	return avoided
 }
 
+// queuePause is how long no grant is sent to wait at an agent that has refused one:
+// its endpoint is down, or its queue is full.
+const queuePause = 100 * time.Millisecond
+
 // muchFaster is the difference of the logarithms of slowness from which a worker
 // is worth a grant without a credit.
 const muchFaster = 0.25
@@ -151,7 +155,7 @@
 		if s.logSlowness > placed.logSlowness-muchFaster {
 			return nil
 		}
-		if share := s.share(t.needs); s.takes(t) && s.health == healthStates.Healthy && s != t.avoided && int(s.idle) >= share {
+		if share := s.share(t.needs); c.mayQueue(s, t) && int(s.idle) >= share {
 			s.idle -= uint32(share)
 			return s
 		}
@@ -165,7 +169,7 @@
 	var best *session
 	late := t.job.timed() && p.late(t.job, c.now)
 	for _, s := range p.sessions {
-		if !s.divided || !t.job.inTime(s, late, c.now) || s.queued >= c.tuning.QueueDepth || !s.takes(t) || s.health != healthStates.Healthy || s == t.avoided {
+		if s.queued >= c.tuning.QueueDepth || !c.mayQueue(s, t) || !t.job.inTime(s, late, c.now) {
 			continue
 		}
 		if best == nil || s.queued < best.queued {
@@ -175,6 +179,11 @@
 	return best
 }
 
+// mayQueue reports whether a grant without a credit may be sent to the agent.
+func (c *Core) mayQueue(s *session, t *task) bool {
+	return s.divided && s.takes(t) && s.health == healthStates.Healthy && s != t.avoided && !c.now.Before(s.queueAfter)
+}
+
 // takes reports whether the worker could run the task when it has room.
 func (s *session) takes(t *task) bool {
 	return s.state == sessionStates.Up && s.health != healthStates.Probation && s.health != healthStates.Tried &&
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -265,8 +265,8 @@
 	service := c.doc.Services[j.service]
 	p := c.pool(service.Pool)
 	j.acceptedAt = c.now
-	c.journalAccepted(j, p)
 	j.tasks = make([]task, len(m.Submission.Tasks))
+	c.journalAccepted(j, p)
 	for i := range j.tasks {
 		c.initTask(p, j, uint32(i), &m.Submission)
 	}
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -64,6 +64,9 @@
 }
 
 func (c *Core) takeRefusal(s *session, t *task, reason structs.RefusalReason) {
+	if t.inQueue {
+		s.queueAfter = c.now.Add(queuePause)
+	}
 	switch reason {
 	case structs.QueueFull:
 		c.fireHealth(s, healthEvents.Returned)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -35,8 +35,10 @@
 
 	credits creditCount
 	// queued counts the grants that wait at the agent without a credit.
-	queued  int
-	granted map[structs.GrantID]*task
+	queued int
+	// queueAfter is when grants may wait there again after a refusal of one.
+	queueAfter time.Time
+	granted    map[structs.GrantID]*task
 	// idle is the number of credits that other entries hold unused there.
 	idle uint32
 	// demanded is the demand last sent, less the credits offered since;
--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -43,7 +43,8 @@
 
 // NewBounded returns a logger that writes through a Bounded, and the Bounded
 // itself, whose Close writes what waits.
-func NewBounded(out io.Writer, least event.Severity) (*Logger, *Bounded) {
+// Each line has the fields.
+func NewBounded(out io.Writer, least event.Severity, fields ...Field) (*Logger, *Bounded) {
 	b := &Bounded{out: out, stop: make(chan struct{}), ended: make(chan struct{})}
 	b.faults = lane{lines: make(chan []byte, laneLines), most: faultPerSecond}
 	b.infos = lane{lines: make(chan []byte, laneLines), most: infoPerSecond}
@@ -53,6 +54,7 @@
 		zapcore.NewCore(newEncoder(), zapcore.AddSync(&b.faults), isFault),
 		zapcore.NewCore(newEncoder(), zapcore.AddSync(&b.infos), isInfo),
 	))}
+	log = log.With(fields...)
 	go b.run(log)
 	return log, b
 }
