--- a/cmd/cactuspost-node/agent.go
+++ b/cmd/cactuspost-node/agent.go
@@ -13,9 +13,6 @@
 	"cactuspost.example/platform"
 )
 
-// metricsPort is the agent's operators' port, counted in the platform's range.
-const metricsPort = 2
-
 const (
 	// entryHeaderTimeout bounds the arrival of an operator's request.
 	entryHeaderTimeout = 2 * time.Second
@@ -65,7 +62,7 @@
 		Agent: settings.Agent{
 			Endpoint: p.Node, DataCentre: p.DataCentre, Pool: a.Pool,
 			Slots: agentd.Shares(a.Capacity), Capacity: a.Capacity,
-			Entries: p.Seeds, HTTPAddress: p.OwnAddress(metricsPort), UnackedLimit: unackedLimit,
+			Entries: p.Seeds, HTTPAddress: p.Address(s.MetricsPort), UnackedLimit: unackedLimit,
 		},
 		Worker: platform.NewWorker(p.WorkerAddress, a.Worker),
 		Born:   a.Born,
--- a/cmd/cactuspost-node/entry.go
+++ b/cmd/cactuspost-node/entry.go
@@ -14,11 +14,8 @@
 	"cactuspost.example/platform"
 )
 
-// Ports of an entry, counted in the platform's range.
-const (
-	operatorsPort = 0
-	peersPort     = 1
-)
+// peersPort is the port for other entries, counted in the platform's range.
+const peersPort = 0
 
 // entryLimits bound the operators' interface, which callers don't use here.
 var entryLimits = settings.Limits{MaxBody: 1 << 20, MaxConnections: 64, HeaderTimeout: entryHeaderTimeout}
@@ -64,7 +61,7 @@
 	s, p := n.settings, n.platform
 	return entryd.Config{
 		Self:        structs.Peer{Name: p.Node, DataCentre: p.DataCentre, LinkAddress: p.ControlAddress},
-		HTTPAddress: p.OwnAddress(operatorsPort),
+		HTTPAddress: p.Address(s.MetricsPort),
 		PeerAddress: p.OwnAddress(peersPort),
 		LinkAddress: p.ControlAddress,
 		Limits:      entryLimits,
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -39,7 +39,9 @@
 	// dropped, DrainTimeout how long the open jobs may take after that.
 	Settle       time.Duration
 	DrainTimeout time.Duration
-	LogLevel     event.Severity
+	// MetricsPort serves metrics and the operators' interface.
+	MetricsPort int
+	LogLevel    event.Severity
 }
 
 // Bounds of the node's settings.
@@ -47,6 +49,7 @@
 	minNodeMS      = 10
 	maxNodeMS      = 60_000
 	maxSilentBeats = 100
+	maxPort        = 65_535
 )
 
 // LoadNode checks the text of a node's settings file. It returns a Faults error
@@ -79,6 +82,7 @@
 		FeedWait:     ms("feed_wait_ms"),
 		Settle:       ms("settle_ms"),
 		DrainTimeout: ms("drain_timeout_ms"),
+		MetricsPort:  int(o.integer("metrics_port", 1, maxPort)),
 		LogLevel:     readLevel(o),
 	}
 	if n.AgentGrace < n.EntrySilence+n.EntryGrace {
--- /dev/null
+++ b/internal/settings/node_test.go
@@ -0,0 +1,36 @@
+package settings
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestDeployedNodeSettingsAreValid(t *testing.T) {
+	is := is.New(t)
+	raw, err := os.ReadFile("../../deploy/node.jsonc")
+	is.NoErr(err)
+	n, err := LoadNode(raw)
+	is.NoErr(err)
+	// A caller sends its job again 1,300 ms after its connection broke.
+	is.True((n.EntrySilence + n.EntryGrace).Milliseconds() < 1300)
+}
+
+func TestNodeSettingsThatContradictEachOtherAreFaults(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/node.jsonc")
+	is.New(t).NoErr(err)
+	for name, change := range map[string][2]string{
+		"grace shorter than the lease":   {`"lease_ms": 700`, `"lease_ms": 5000`},
+		"grace shorter than the silence": {`"entry_silence_ms": 450`, `"entry_silence_ms": 4000`},
+		"unknown key":                    {`"lease_ms": 700`, `"lease_ms": 700, "leas_ms": 1`},
+		"out of bounds":                  {`"metrics_port": 9464`, `"metrics_port": 0`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Replace(string(raw), change[0], change[1], 1)
+			_, err := LoadNode([]byte(text))
+			is.New(t).True(err != nil)
+		})
+	}
+}
