A job that has begun is finished while its caller waits, or given up at once

Change: their other tasks run last, and a job that can't end before its caller's deadline is answered at once. Ruled out: answering at three times the objective, which breaks off work whose caller still waits.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -255,13 +255,15 @@
 	}
 }
 
-// shedHopeless ends the jobs of a lane that can't end before their deadlines.
+// shedHopeless ends the jobs of a lane that can't end in time. What has begun is
+// given up at once, too: nothing is gained by holding its caller.
 func (c *Core) shedHopeless(l *lane) {
 	for l.waiting > 0 && l.pool.hopeless(l.first().job, c.now) {
 		j := l.first().job
-		if !j.untouched() {
-			return
+		if j.untouched() {
+			c.fireJob(j, jobEvents.Shed, nil)
+			continue
 		}
-		c.fireJob(j, jobEvents.Shed, nil)
+		c.fireJob(j, jobEvents.Expire, nil)
 	}
 }
--- a/internal/dispatch/attached.go
+++ b/internal/dispatch/attached.go
@@ -153,14 +153,15 @@
 }
 
 // inTime reports whether a job that starts on the worker now meets its objective,
-// or, if it is late already, is of any use.
+// or, if it is late already, is of any use. A job that has begun is finished as
+// long as its caller waits.
 func (j *job) inTime(s *session, late bool, now time.Time) bool {
 	if !j.timed() {
 		return true
 	}
 	end := j.aimBy
 	if late {
-		end = j.endBy
+		end = j.lastEnd()
 	}
 	return !now.Add(j.runTime(s)).After(end)
 }
@@ -178,7 +179,7 @@
 
 // hopeless reports whether a job that waits can't end before its deadline.
 func (p *pool) hopeless(j *job, now time.Time) bool {
-	return j.timed() && now.Add(p.fastest(j)).After(j.endBy)
+	return j.timed() && now.Add(p.fastest(j)).After(j.lastEnd())
 }
 
 // hopelessAt reports whether an answer is of no use any more.
@@ -193,6 +194,14 @@
 	return j.runTime(p.sessions[0])
 }
 
+// lastEnd is when the job has to end at the latest.
+func (j *job) lastEnd() time.Time {
+	if j.untouched() {
+		return j.endBy
+	}
+	return j.deadline
+}
+
 // notePause holds grants back for a moment if this process has been paused.
 func (c *Core) notePause(now time.Time) {
 	if !c.now.IsZero() && now.Sub(c.now) > pauseLimit && len(c.sessions) > 0 {
--- a/internal/dispatch/attached_test.go
+++ b/internal/dispatch/attached_test.go
@@ -291,3 +291,32 @@
 	b.pass(queuePause)
 	b.Equal(len(b.grants()), 1)
 }
+
+func TestJobThatHasBegunIsFinishedOrGivenUpAtOnce(t *testing.T) {
+	b := newTimedBench(t)
+	b.core.tuning.QueueDepth = 0
+	b.dividedWorker(1, 1, 10)
+	b.runJob("a", 2, 1000)
+	granted := b.grants()
+	b.Equal(len(granted), 1)
+	b.pass(time.Second) // three times its objective has passed
+	b.Equal(last[*Answered](b), (*Answered)(nil))
+	b.step(&AgentMessage{Link: 1, Message: &structs.FromAgent{
+		Results: []structs.Result{{Grant: granted[0].ID, Outcome: structs.Succeeded}}, Offered: structs.Credits{Any: 10},
+	}})
+	b.Equal(len(b.grants()), 1) // the rest still runs: the caller waits ten seconds
+}
+
+func TestBegunJobThatCanNotEndInTimeIsGivenUpAtOnce(t *testing.T) {
+	b := newTimedBench(t)
+	b.core.tuning.QueueDepth = 0
+	b.dividedWorker(1, 1, 10)
+	b.runJob("a", 2, 1000)
+	b.Equal(len(b.grants()), 1) // it stands still, the other task waits
+	began := b.now
+	for last[*Answered](b) == nil {
+		b.pass(10 * time.Millisecond)
+	}
+	b.Equal(last[*Answered](b).Answer.Failure.Run, failure.Unknown)
+	b.True(b.now.Sub(began) < 10*time.Second-100*time.Millisecond) // before the caller's deadline
+}
