A suspended machine gives its links up before it reads what waited there

Cause (from reading): a suspension does not show on the steady clock, so a thawed agent could start grants that its entry had given up, and a thawed entry grant again before it heard which callers had left; two runs of a task would overlap. Ruled out: the time of day, which jumps. Change: the boot-time clock is compared with the steady one before each message.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -122,6 +122,8 @@
 		c.taskExited(m)
 	case *EndpointChanged:
 		c.endpointChanged(m.Up)
+	case *Suspended:
+		c.giveUpLinks()
 	case *Stop:
 		c.drain.Stop()
 	case *Inspect:
@@ -172,6 +174,10 @@
 	if c.tuning.Pause == 0 || !paused {
 		return
 	}
+	c.giveUpLinks()
+}
+
+func (c *Core) giveUpLinks() {
 	for _, l := range c.links {
 		c.fireLink(l, linkEvents.Silent)
 	}
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -47,6 +47,10 @@
 // not, no credits are offered. The initial assumption is that it does not.
 type EndpointChanged struct{ Up bool }
 
+// Suspended says that this process's machine stood still, and its steady clock
+// with it: entries may have granted elsewhere what still waits to be read here.
+type Suspended struct{}
+
 // Stop begins the planned stop: the endpoint takes no more grants. The effect
 // Drained follows when every started task has ended and every result was
 // acknowledged, or its entry is gone.
@@ -61,6 +65,7 @@
 func (*TaskExited) isMessage()      {}
 func (*EndpointChanged) isMessage() {}
 func (*Stop) isMessage()            {}
+func (*Suspended) isMessage()       {}
 func (*Inspect) isMessage()         {}
 
 // Effect is an output of Core.
--- a/internal/agent/queue_test.go
+++ b/internal/agent/queue_test.go
@@ -135,3 +135,11 @@
 	b.queue(0, 1, 4, time.Second)
 	b.Equal(len(b.started()), 0)
 }
+
+func TestGrantsThatWaitedDuringASuspensionDoNotStart(t *testing.T) {
+	b := newQueueBench(t)
+	b.pass(2 * restTime)
+	b.step(&Suspended{}) // the steady clock shows nothing
+	b.queue(0, 1, 4, time.Second)
+	b.Equal(len(b.started()), 0)
+}
--- a/internal/agentd/core.go
+++ b/internal/agentd/core.go
@@ -9,6 +9,7 @@
 	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
 	"cactuspost.example/internal/logging"
+	"cactuspost.example/internal/pause"
 )
 
 const (
@@ -79,6 +80,7 @@
 	blocked map[agent.LinkID]bool
 	// unstopped lists stop requests that found no room; they are sent again.
 	unstopped []stopTask
+	suspend   *pause.Detector
 	// returned are inputs that effects led to; they are handled at the next tick.
 	returned []agent.Message
 }
@@ -87,6 +89,7 @@
 	return &core{
 		inbox: inbox, decisions: d, links: links, runner: runner, log: log,
 		replies: map[uint64]chan<- Status{},
+		suspend: pause.NewDetector(pause.BootClock),
 		blocked: map[agent.LinkID]bool{},
 	}
 }
@@ -101,6 +104,10 @@
 
 // Handle passes one message to the decisions.
 func (c *core) Handle(now time.Time, in coreInput) bool {
+	if c.suspend.Suspended(now) {
+		c.log.Event(event.MachineSuspended)
+		c.decisions.Step(now, &agent.Suspended{})
+	}
 	if in.status != nil {
 		c.inspect(now, in.status)
 		return true
--- a/internal/dispatch/attached.go
+++ b/internal/dispatch/attached.go
@@ -205,7 +205,8 @@
 // notePause holds grants back for a moment if this process has been paused.
 func (c *Core) notePause(now time.Time) {
 	if !c.now.IsZero() && now.Sub(c.now) > pauseLimit && len(c.sessions) > 0 {
-		c.resumeAt = now.Add(settleAfterPause)
+		c.now = now
+		c.settle()
 	}
 	if c.startedAt.IsZero() {
 		c.startedAt = now
@@ -213,6 +214,9 @@
 	c.now = now
 }
 
+// settle holds grants back until what happened during a pause was heard.
+func (c *Core) settle() { c.resumeAt = c.now.Add(settleAfterPause) }
+
 func (c *Core) findNamed(m *FindNamed) {
 	j := c.named[m.Name]
 	if j == nil {
--- a/internal/dispatch/attached_test.go
+++ b/internal/dispatch/attached_test.go
@@ -320,3 +320,13 @@
 	b.Equal(last[*Answered](b).Answer.Failure.Run, failure.Unknown)
 	b.True(b.now.Sub(began) < 10*time.Second-100*time.Millisecond) // before the caller's deadline
 }
+
+func TestNothingIsGrantedRightAfterASuspension(t *testing.T) {
+	b := newTimedBench(t)
+	b.dividedWorker(1, 1, 40)
+	b.step(&Suspended{})
+	b.runJob("a", 1, 1000)
+	b.Equal(len(b.grants()), 0)
+	b.pass(2 * settleAfterPause)
+	b.Equal(len(b.grants()), 1)
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -117,6 +117,8 @@
 		c.agentMessage(m)
 	case *LinkClosed:
 		c.linkClosed(m)
+	case *Suspended:
+		c.settle()
 	case *Configure:
 		c.configure(m.Document)
 	case *SetPeers:
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -97,6 +97,10 @@
 // LinkClosed says that a link has ended, whichever side ended it.
 type LinkClosed struct{ Link LinkID }
 
+// Suspended says that this process's machine stood still, and its steady clock
+// with it.
+type Suspended struct{}
+
 // Configure puts a document in force if its revision is higher than the one
 // that is.
 type Configure struct{ Document *structs.Document }
@@ -129,6 +133,7 @@
 func (*AbandonReply) isMessage() {}
 func (*AgentMessage) isMessage() {}
 func (*LinkClosed) isMessage()   {}
+func (*Suspended) isMessage()    {}
 func (*Configure) isMessage()    {}
 func (*SetPeers) isMessage()     {}
 func (*Stop) isMessage()         {}
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -7,7 +7,9 @@
 
 	"cactuspost.example/internal/actor"
 	"cactuspost.example/internal/dispatch"
+	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/logging"
+	"cactuspost.example/internal/pause"
 	"cactuspost.example/internal/structs"
 )
 
@@ -100,6 +102,7 @@
 	drained chan<- struct{}
 	// gateway is nil if nobody needs the document.
 	gateway *Gateway
+	suspend *pause.Detector
 	// active is set when a message has come since the last wake, armed while a
 	// wake is under way.
 	active bool
@@ -116,11 +119,13 @@
 		callers: map[dispatch.ReplyID]chan<- dispatch.Effect{},
 		links:   map[dispatch.LinkID]*link{},
 		drained: drained,
+		suspend: pause.NewDetector(pause.BootClock),
 	}
 }
 
 // Handle processes one message.
 func (a *coreActor) Handle(now time.Time, m coreMessage) bool {
+	a.noteSuspension(now)
 	switch m.(type) {
 	case wake:
 		a.active = false
@@ -135,6 +140,15 @@
 	return true
 }
 
+// noteSuspension tells the dispatcher that the machine stood still, before it sees
+// anything that arrived meanwhile.
+func (a *coreActor) noteSuspension(now time.Time) {
+	if a.suspend.Suspended(now) {
+		a.log.Event(event.MachineSuspended)
+		a.core.Step(now, &dispatch.Suspended{})
+	}
+}
+
 // step passes one message to the dispatcher.
 func (a *coreActor) step(now time.Time, m coreMessage) {
 	switch m := m.(type) {
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -18,6 +18,7 @@
 	ConnectionsAtLimit ID = 4022
 	ActorFailed        ID = 4030
 	LinesDropped       ID = 4031
+	MachineSuspended   ID = 4032
 )
 
 var daemonEvents = []Description{
@@ -37,4 +38,5 @@
 	{ConnectionsAtLimit, Warning, "connections at limit", "New HTTP connections are refused because max_connections are open.", "Raise max_connections or add an entry."},
 	{ActorFailed, Fault, "actor failed", "A part of the daemon ended for an internal fault; the daemon ends.", "Report it with the fields of the event."},
 	{LinesDropped, Warning, "lines dropped", "More lines came than the bounds allow, or the reader of the log was too slow; the fields count what is missing.", "Look at the metrics for that second."},
+	{MachineSuspended, Warning, "machine suspended", "The machine stood still for a time that the steady clock doesn't show; links were given up or grants held back for a moment.", "Look at the host if it repeats."},
 }
--- /dev/null
+++ b/internal/pause/pause_test.go
@@ -0,0 +1,35 @@
+package pause
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestSuspensionIsNoticedOnce(t *testing.T) {
+	is := is.New(t)
+	boot := time.Hour
+	var fault error
+	d := NewDetector(func() (time.Duration, error) { return boot, fault })
+	now := time.Now()
+	is.True(!d.Suspended(now)) // nothing to compare with yet
+	now, boot = now.Add(5*time.Second), boot+5*time.Second
+	is.True(!d.Suspended(now)) // time has passed on both clocks
+	now, boot = now.Add(time.Millisecond), boot+4*time.Second
+	is.True(d.Suspended(now))
+	is.True(!d.Suspended(now))
+	fault = errors.New("not readable")
+	is.True(!d.Suspended(now.Add(time.Second)))
+}
+
+func TestBootClockGoesOn(t *testing.T) {
+	is := is.New(t)
+	first, err := BootClock()
+	is.NoErr(err)
+	time.Sleep(5 * time.Millisecond)
+	second, err := BootClock()
+	is.NoErr(err)
+	is.True(second > first)
+}
