--- a/internal/dispatch/attached_test.go
+++ b/internal/dispatch/attached_test.go
@@ -330,3 +330,16 @@
 	b.pass(2 * settleAfterPause)
 	b.Equal(len(b.grants()), 1)
 }
+
+func TestStepsInAnImpossibleOrderAreRefused(t *testing.T) {
+	b := newTimedBench(t)
+	b.dividedWorker(1, 1, 40)
+	for _, after := range []int{-1, 0, 7} {
+		s := structs.Submission{Name: "a", Team: "a", Service: "s", Tasks: []structs.Task{{Kind: "k"}}}
+		s.Steps = []structs.Step{{After: []int{after}}}
+		b.reply++
+		b.step(&RunJob{Reply: b.reply, Submission: s, Patience: 10 * time.Second})
+		b.Equal(last[*Refused](b).Reply, b.reply)
+		b.Equal(last[*Refused](b).Failure.Kind, failure.Invalid)
+	}
+}
