--- a/cmd/cactuspost-node/agent.go
+++ b/cmd/cactuspost-node/agent.go
@@ -14,16 +14,6 @@
 )
 
 const (
-	// entryHeaderTimeout bounds the arrival of an operator's request.
-	entryHeaderTimeout = 2 * time.Second
-	// longTask is longer than any task: these workers have no reserve for short
-	// ones.
-	longTask = time.Hour
-	// queueDepth keeps a worker busy for the round trip to an entry and lets it
-	// start the most urgent task of all entries next.
-	queueDepth = 1
-	// lastAnswers is for the answers of the last jobs of an entry that is leaving.
-	lastAnswers = 400 * time.Millisecond
 	// unackedLimit bounds the results that wait for an entry.
 	unackedLimit = 100_000
 	// controlStop bounds the end of the server for heartbeats.
--- a/cmd/cactuspost-node/entry.go
+++ b/cmd/cactuspost-node/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -17,8 +18,19 @@
 // peersPort is the port for other entries, counted in the platform's range.
 const peersPort = 0
 
-// entryLimits bound the operators' interface, which callers don't use here.
-var entryLimits = settings.Limits{MaxBody: 1 << 20, MaxConnections: 64, HeaderTimeout: entryHeaderTimeout}
+const (
+	// longTask is longer than any task: these workers have no reserve for short
+	// ones.
+	longTask = time.Hour
+	// queueDepth keeps a worker busy for the round trip to an entry and lets it
+	// start the most urgent task of all entries next.
+	queueDepth = 1
+	// lastAnswers is for the answers of the last jobs of an entry that is leaving.
+	lastAnswers = 400 * time.Millisecond
+)
+
+// operatorLimits bound the operators' interface, which callers don't use here.
+var operatorLimits = settings.Limits{MaxBody: 1 << 20, MaxConnections: 64, HeaderTimeout: 2 * time.Second}
 
 // runEntry serves until a planned stop is done.
 func runEntry(ctx context.Context, n *node) error {
@@ -64,15 +76,24 @@
 		HTTPAddress: p.Address(s.MetricsPort),
 		PeerAddress: p.OwnAddress(peersPort),
 		LinkAddress: p.ControlAddress,
-		Limits:      entryLimits,
+		Limits:      operatorLimits,
 		Settle:      s.Settle, DrainTimeout: s.DrainTimeout,
 		Heartbeat: s.Heartbeat, SilentBeats: s.SilentBeats,
 		NewCore: func(self structs.Peer, seed uint64) entryd.Core {
-			return dispatch.New(dispatch.Options{Self: self, Seed: seed, Tuning: dispatch.Tuning{
-				AgentGrace: s.AgentGrace, Estimates: dispatch.Declared, LongTask: longTask, LeaveAccept: s.DrainTimeout / 2, LeaveEnd: s.DrainTimeout - lastAnswers, QueueDepth: queueDepth,
-			}})
+			return dispatch.New(dispatch.Options{Self: self, Seed: seed, Tuning: tuningOf(s)})
 		},
 		NewIngress: func(g *entryd.Gateway) (entryd.Ingress, error) { return platform.StartFront(p, g, n.log) },
 		Log:        n.log,
 	}
 }
+
+func tuningOf(s *settings.Node) dispatch.Tuning {
+	return dispatch.Tuning{
+		AgentGrace:  s.AgentGrace,
+		Estimates:   dispatch.Declared,
+		LongTask:    longTask,
+		QueueDepth:  queueDepth,
+		LeaveAccept: s.DrainTimeout / 2,
+		LeaveEnd:    s.DrainTimeout - lastAnswers,
+	}
+}
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -219,6 +219,7 @@
 	m := s.message()
 	m.Grants = append(m.Grants, structs.Grant{
 		ID: t.grantID(), Service: t.job.service, Kind: t.kind.name, Long: t.lane.long, Reserved: t.reserved,
-		Slots: uint32(t.slots), Name: t.name, Queued: queued, StartWithin: t.lane.pool.startWithin(t.job, c.now), Limit: c.serviceOf(t.job.service).TaskLimit.Duration(), Payload: t.payload,
+		Slots: uint32(t.slots), Queued: queued, StartWithin: t.lane.pool.startWithin(t.job, c.now),
+		Limit: c.serviceOf(t.job.service).TaskLimit.Duration(), Name: t.name, Payload: t.payload,
 	})
 }
--- a/internal/leased/order.go
+++ b/internal/leased/order.go
@@ -12,10 +12,9 @@
 // order is one run that the agent has ordered and whose end it has not
 // reported.
 type order struct {
-	grant   structs.GrantID
-	run     RunID
-	state   chart.State
-	payload []byte
+	grant structs.GrantID
+	run   RunID
+	state chart.State
 	// until is the lease of the start order on the worker's clock.
 	until     time.Duration
 	startedAt time.Time
