The ingress looks at its timeouts on the event loop

Ruled out: a lock (the connections belong to the loop). Change: OnTick hands the look to the loop. The ingress' tests fail under the race detector before, and pass three times after.

--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -65,6 +65,8 @@
 	// ended is closed when the server has stopped, for the reason in fault.
 	ended chan struct{}
 	fault error
+	// loop is the event loop, once it has a connection.
+	loop atomic.Pointer[gnet.EventLoop]
 	// connections belong to the event loop.
 	connections map[*connection]bool
 }
@@ -131,6 +133,10 @@
 	c := newConnection(s, conn)
 	conn.SetContext(c)
 	s.connections[c] = true
+	if s.loop.Load() == nil {
+		loop := conn.EventLoop()
+		s.loop.Store(&loop)
+	}
 	return nil, gnet.None
 }
 
@@ -150,8 +156,21 @@
 	return gnet.None
 }
 
-// OnTick is called by gnet on the event loop. It looks at the timeouts.
+// OnTick is called by gnet on a goroutine of its own. It has the event loop look
+// at the timeouts.
 func (s *Server) OnTick() (time.Duration, gnet.Action) {
+	if loop := s.loop.Load(); loop != nil {
+		// Without its loop the server has ended.
+		_ = (*loop).Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+			s.sweep()
+			return nil
+		}))
+	}
+	return tickPeriod, gnet.None
+}
+
+// sweep looks at the timeouts of the connections.
+func (s *Server) sweep() {
 	limits := s.options.Limits()
 	now := time.Now()
 	if s.leaving.Load() && s.leavingSince.IsZero() {
@@ -163,5 +182,4 @@
 	for c := range s.connections {
 		c.tick(now, limits)
 	}
-	return tickPeriod, gnet.None
 }
