A planned stop after an agent that did not start; one rule for idle credits

From reading the change: the keeper's planned stop met an agent that could not be started (its port taken) and ended the process with a fault; the new test fails with that fault before.

--- a/internal/agent/slot.go
+++ b/internal/agent/slot.go
@@ -141,15 +141,14 @@
 // unused reports whether a slot's credit may be taken back for another entry.
 // One that was given just now may have a grant on the way.
 func (c *Core) unused(s *slot) bool {
-	return s.state == slotStates.Offered && s.link.wanted() == 0 && c.now.Sub(s.offeredAt) >= restTime
+	return c.idle(s) && s.link.wanted() == 0
 }
 
 // tooFew reports whether an entry keeps the credit although its tasks wait: it
 // has too few for any of them. Then they are of more use to an entry whose
 // first task waits longer.
 func (c *Core) tooFew(s *slot, l *link) bool {
-	return c.opts.Divided && s.state == slotStates.Offered && s.link.demand.HeadAge < l.demand.HeadAge &&
-		c.now.Sub(s.offeredAt) >= restTime
+	return c.opts.Divided && c.idle(s) && s.link.demand.HeadAge < l.demand.HeadAge
 }
 
 // convert takes back Short credits when long tasks wait and may have the slots.
--- a/internal/agentd/keeper.go
+++ b/internal/agentd/keeper.go
@@ -63,7 +63,7 @@
 var keeperChart = chart.MustCompile(charts.Files, "keeper", chart.Bindings[*Keeper]{
 	Actions: map[string]func(*Keeper){
 		"start_agent": (*Keeper).startAgent,
-		"stop_agent":  func(k *Keeper) { k.agent.Stop() },
+		"stop_agent":  (*Keeper).stopAgent,
 		"end_agent":   func(k *Keeper) { k.end() },
 	},
 })
@@ -166,6 +166,14 @@
 	}
 }
 
+// stopAgent begins the agent's planned stop. One that could not be started has
+// nothing to stop; its end is on the way.
+func (k *Keeper) stopAgent() {
+	if k.agent.core != nil {
+		k.agent.Stop()
+	}
+}
+
 // startAgent runs an agent for the worker that announced itself last.
 func (k *Keeper) startAgent() {
 	ctx, cancel := context.WithCancel(k.ctx)
--- a/internal/agentd/keeper_test.go
+++ b/internal/agentd/keeper_test.go
@@ -139,3 +139,14 @@
 	third.ctx = ctx
 	third.recall(func(Announcement) bool { t.Error("a leaving worker was recalled"); return true })
 }
+
+func TestPlannedStopAfterAnAgentThatDidNotStart(t *testing.T) {
+	is := is.New(t)
+	k := NewKeeper(func(Announcement) Config {
+		return Config{Agent: settings.Agent{Slots: 1, HTTPAddress: "127.0.0.1:-1"}, Worker: idleWorker{}}
+	}, func(Announcement) {}, logging.Discard())
+	k.ctx = context.Background()
+	k.announced(announcement(10, 1))
+	is.True(k.Handle(time.Now(), keeperInput{})) // the end of the agent is awaited
+	is.True(!k.Handle(time.Now(), keeperInput{ended: k.agent}))
+}
