Stand-ins of the platform, a fault soak on real processes, and explained failures

A soak plays the node's processes against stand-ins of the store and the workers under random faults and judges by what callers and workers see. An agent beside a worker with leased runs now dials no entry before the predecessor's runs were stopped (TestNoEntryIsDialledBeforeAPredecessorsRunsHaveEnded).

Explained failures are shown with real processes (test/operations) for the three kinds of failed request; each test fails without the line that carries the cause. That needed a line for the start of a grant that waited at its agent (2049), and the outcome of a returned task in words.

--- a/cmd/cactuspost-node/entry.go
+++ b/cmd/cactuspost-node/entry.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -72,7 +73,9 @@
 func entryConfig(n *node) entryd.Config {
 	s, p := n.settings, n.platform
 	return entryd.Config{
-		Self:        structs.Peer{Name: p.Node, DataCentre: p.DataCentre, LinkAddress: p.ControlAddress},
+		Self: structs.Peer{
+			Name: p.Node, DataCentre: p.DataCentre, LinkAddress: cmp.Or(s.AdvertisedLink, p.ControlAddress),
+		},
 		HTTPAddress: p.Address(s.MetricsPort),
 		PeerAddress: p.OwnAddress(peersPort),
 		LinkAddress: p.ControlAddress,
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -23,6 +23,10 @@
 	// Divided says that the slots are equal shares of Capacity, so that a task
 	// takes as many as its needs ask for.
 	Divided bool
+	// Takeover says that the endpoint may still run tasks of a predecessor of this
+	// agent until it is up for the first time. No entry hears of the agent before:
+	// it would run those tasks elsewhere.
+	Takeover bool
 	// Entries lists link addresses of entries; they tell of the others.
 	Entries []string
 	// UnackedLimit bounds the results kept for entries; zero means the default.
@@ -67,6 +71,8 @@
 	doc        *structs.Document
 	drain      *drain.Drain
 	endpointUp bool
+	// takenOver says that nothing of a predecessor runs at the endpoint.
+	takenOver bool
 
 	slots []*slot
 	// offeredAny and busyLong count the slots that long tasks may hold or do.
@@ -97,6 +103,8 @@
 		rng:    rand.New(rand.NewPCG(o.Seed, uint64(o.Incarnation))),
 		byID:   map[LinkID]*link{},
 		runs:   map[structs.GrantID]*run{},
+
+		takenOver: !o.Takeover,
 	}
 	c.drain = drain.New(c.announceDrain, func() { c.emit(&Drained{}) })
 	for range o.Slots {
@@ -217,6 +225,7 @@
 
 func (c *Core) endpointChanged(up bool) {
 	c.endpointUp = up
+	c.takenOver = c.takenOver || up
 	if !up {
 		c.withdrawQueue()
 		c.withdrawAll()
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -91,8 +91,11 @@
 }
 
 // needs reports whether the agent wants a connection: a leaving one only to
-// hand over results.
+// hand over results, and none while a predecessor's runs may go on.
 func (c *Core) needs(l *link) bool {
+	if !c.takenOver {
+		return false
+	}
 	return !c.leaving() || len(c.runsOf(l)) > 0
 }
 
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -94,9 +94,13 @@
 
 // Happened is an event for the log.
 type Happened struct {
-	Event  event.ID
-	Entry  string
-	Grant  structs.GrantID
+	Event event.ID
+	Entry string
+	Grant structs.GrantID
+	// Task is the endpoint's name of the grant's task, Waited how long the grant
+	// has waited here; both are set for a start only.
+	Task   string
+	Waited time.Duration
 	Detail string
 }
 
--- a/internal/agent/queue.go
+++ b/internal/agent/queue.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"cactuspost.example/internal/event"
 )
 
 const (
@@ -39,6 +41,9 @@
 }
 
 func (c *Core) reportStart(r *run) {
+	c.emit(&Happened{
+		Event: event.RunStarted, Entry: r.link.address, Grant: r.grant.ID, Task: r.grant.Name, Waited: c.now.Sub(r.queuedAt),
+	})
 	if !r.link.greeted {
 		return
 	}
--- a/internal/agent/queue_test.go
+++ b/internal/agent/queue_test.go
@@ -41,6 +41,26 @@
 	return b
 }
 
+func TestNoEntryIsDialledBeforeAPredecessorsRunsHaveEnded(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1_000_000)
+	c := New(Options{Endpoint: "w", Incarnation: 7, Pool: "p", Slots: 2, Takeover: true, Entries: []string{"e1"}})
+	dials := func() (n int) {
+		c.Tick(now)
+		c.Flush(now)
+		for _, e := range c.Effects() {
+			if _, ok := e.(*Dial); ok {
+				n++
+			}
+		}
+		return n
+	}
+	// An entry that hears of the new agent runs the tasks of the old one elsewhere.
+	is.Equal(dials(), 0)
+	c.Step(now, &EndpointChanged{Up: true})
+	is.Equal(dials(), 1)
+}
+
 func (b *queueBench) step(m Message) {
 	b.core.Step(b.now, m)
 	b.core.Flush(b.now)
--- a/internal/agentd/counters.go
+++ b/internal/agentd/counters.go
@@ -10,16 +10,6 @@
 	"cactuspost.example/internal/structs"
 )
 
-// outcomeNames are the values of the label outcome, by structs.Outcome.
-var outcomeNames = [...]string{
-	structs.Succeeded:     "succeeded",
-	structs.Errored:       "errored",
-	structs.LimitExceeded: "limit_exceeded",
-	structs.Stopped:       "stopped",
-	structs.Lost:          "lost",
-	structs.NotSent:       "not_sent",
-}
-
 // counters are the metrics of one daemon. They may be used by all its parts.
 type counters struct {
 	set            *metrics.Set
@@ -28,7 +18,7 @@
 	framesReceived *metrics.Counter
 	bytesSent      *metrics.Counter
 	runTime        *metrics.Histogram
-	tasks          [len(outcomeNames)]*metrics.Counter
+	tasks          [structs.Outcomes]*metrics.Counter
 }
 
 func newCounters() *counters {
@@ -41,8 +31,8 @@
 		bytesSent:      set.NewCounter("cactuspost_agent_link_bytes_sent_total"),
 		runTime:        set.NewHistogram("cactuspost_agent_task_run_seconds"),
 	}
-	for i, name := range outcomeNames {
-		c.tasks[i] = set.NewCounter(fmt.Sprintf("cactuspost_agent_tasks_ended_total{outcome=%q}", name))
+	for i := range c.tasks {
+		c.tasks[i] = set.NewCounter(fmt.Sprintf("cactuspost_agent_tasks_ended_total{outcome=%q}", structs.Outcome(i)))
 	}
 	return c
 }
--- a/internal/agentd/leased.go
+++ b/internal/agentd/leased.go
@@ -131,7 +131,7 @@
 		id = event.RunFailed
 	}
 	r.log.Event(id, zap.String("task", e.Task), zap.String("grant", grantText(e.Grant)),
-		zap.String("outcome", outcomeNames[e.Outcome]), zap.Duration("run_ms", e.RunTime), zap.String("detail", e.Detail))
+		zap.Stringer("outcome", e.Outcome), zap.Duration("run_ms", e.RunTime), zap.String("detail", e.Detail))
 }
 
 func (r *leasedRunner) available(up bool) {
--- a/internal/agentd/log.go
+++ b/internal/agentd/log.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 
 	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/structs"
 )
@@ -17,6 +18,9 @@
 	if e.Grant != (structs.GrantID{}) {
 		fields = append(fields, zap.String("grant", grantText(e.Grant)))
 	}
+	if e.Event == event.RunStarted {
+		fields = append(fields, zap.String("task", e.Task), zap.Duration("queued_ms", e.Waited))
+	}
 	if e.Detail != "" {
 		fields = append(fields, zap.String("detail", e.Detail))
 	}
--- a/internal/agentd/start.go
+++ b/internal/agentd/start.go
@@ -20,7 +20,7 @@
 	return agent.New(agent.Options{
 		Endpoint: c.Endpoint, Pool: c.Pool, DataCentre: c.DataCentre, Incarnation: incarnation,
 		Slots: c.Slots, Capacity: c.Capacity, Entries: c.Entries,
-		Divided: c.Worker != nil, UnackedLimit: c.UnackedLimit, Seed: uint64(incarnation),
+		Divided: c.Worker != nil, Takeover: c.Worker != nil, UnackedLimit: c.UnackedLimit, Seed: uint64(incarnation),
 		Tuning: agent.Tuning{Silence: c.Timing.Silence, EntryGrace: c.Timing.EntryGrace, Pause: c.Timing.Pause, LastRetry: c.Timing.LastRetry},
 	})
 }
--- a/internal/dispatch/journal.go
+++ b/internal/dispatch/journal.go
@@ -73,9 +73,15 @@
 // journalReturn reports why a granted task waits again. There is no result of a
 // run that was refused, or whose agent is gone.
 func (c *Core) journalReturn(t *task, r *structs.Result) {
-	facts := []Fact{fact("attempt", int(t.attempt)), millisFact("granted_for_ms", c.now.Sub(t.grantedAt))}
+	if !t.job.attached {
+		return
+	}
+	detail := "not started, or its agent is gone"
 	if r != nil {
-		facts = append(facts, fact("outcome", int(r.Outcome)))
+		detail = r.Outcome.String()
 	}
-	c.journalTask(event.TaskReturned, t, t.holder, facts...)
+	c.emit(&Happened{
+		Event: event.TaskReturned, Job: t.job.id, Request: t.job.name, Task: t.name, Endpoint: t.holder.endpoint, Detail: detail,
+		Facts: []Fact{fact("attempt", int(t.attempt)), millisFact("granted_for_ms", c.now.Sub(t.grantedAt))},
+	})
 }
--- a/internal/event/agent.go
+++ b/internal/event/agent.go
@@ -26,6 +26,7 @@
 	BadAnnouncement   ID = 2046
 	WorkerNotRecalled ID = 2047
 	WorkerNotKept     ID = 2048
+	RunStarted        ID = 2049
 )
 
 var agentEvents = []Description{
@@ -53,4 +54,5 @@
 	{BadAnnouncement, Warning, "bad announcement", "A heartbeat was not one of the worker on this machine, or could not be read; it was refused.", "Look for who else sends heartbeats to this address."},
 	{WorkerNotRecalled, Warning, "worker not recalled", "What a predecessor knew of the worker could not be read from the store; the agent waits for a heartbeat.", "Check the platform's store if it repeats."},
 	{WorkerNotKept, Warning, "worker not kept", "What the worker announced could not be written to the store; it is tried again.", "Check the platform's store if it repeats."},
+	{RunStarted, Info, "run started", "A grant that waited at the agent for room was started; the field says how long it has waited.", "None."},
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -192,14 +192,23 @@
 	}
 }
 
-// trigger names the last thing that went wrong with one of the tasks.
+// trigger names the last thing that went wrong with one of the tasks. That a task
+// came back to its entry is only the echo of what happened at the worker.
 func (s *Story) trigger() string {
-	if l := s.last(event.TaskOverran, event.RunFailed, event.EndpointDown, event.AgentLost, event.TaskReturned); l != nil {
+	l := s.last(event.TaskOverran, event.RunFailed, event.EndpointDown, event.AgentLost)
+	if l == nil {
+		l = s.last(event.TaskReturned)
+	}
+	if l != nil {
 		where := l.Endpoint
 		if where == "" {
 			where = l.Node
 		}
-		return fmt.Sprintf("; before that: %s, task %s at %s%s", l.Name, l.Task, where, figures(l, "outcome", "running_ms", "estimate_ms"))
+		detail := ""
+		if l.Detail != "" {
+			detail = ": " + l.Detail
+		}
+		return fmt.Sprintf("; before that: %s, task %s at %s%s%s", l.Name, l.Task, where, detail, figures(l, "outcome", "running_ms", "estimate_ms"))
 	}
 	return "; no task had gone wrong: it waited too long"
 }
@@ -210,7 +219,7 @@
 	longest := 0.0
 	for i := range s.Lines {
 		l := &s.Lines[i]
-		for _, key := range []string{"waited_ms", "run_ms"} {
+		for _, key := range []string{"waited_ms", "queued_ms", "run_ms"} {
 			if value, ok := l.Fields[key].(float64); ok && value > longest {
 				longest, worst = value, l
 			}
@@ -219,7 +228,7 @@
 	if worst == nil {
 		return ""
 	}
-	return fmt.Sprintf("; longest part: %s of task %s%s", worst.Name, worst.Task, figures(worst, "waited_ms", "run_ms", "outcome"))
+	return fmt.Sprintf("; longest part: %s of task %s%s", worst.Name, worst.Task, figures(worst, "waited_ms", "queued_ms", "run_ms", "outcome"))
 }
 
 func figures(l *Line, keys ...string) string {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -42,6 +42,9 @@
 	// MetricsPort serves metrics and the operators' interface.
 	MetricsPort int
 	LogLevel    event.Severity
+	// AdvertisedLink is where agents reach an entry, if it is not where it
+	// listens; it may be empty.
+	AdvertisedLink string
 }
 
 // Bounds of the node's settings.
@@ -84,6 +87,8 @@
 		DrainTimeout: ms("drain_timeout_ms"),
 		MetricsPort:  int(o.integer("metrics_port", 1, maxPort)),
 		LogLevel:     readLevel(o),
+
+		AdvertisedLink: o.textOr("advertised_link_address", "", reachableRule),
 	}
 	if n.AgentGrace < n.EntrySilence+n.EntryGrace {
 		o.faultAt("agent_grace_ms", n.AgentGrace.String(), "at least entry_silence_ms and entry_grace_ms together")
--- a/internal/structs/job.go
+++ b/internal/structs/job.go
@@ -128,3 +128,11 @@
 	// task was sent. It never leaves the agent, which refuses the grant instead.
 	NotSent
 )
+
+// Outcomes is the number of outcomes.
+const Outcomes = len(outcomeNames)
+
+var outcomeNames = [...]string{"succeeded", "errored", "limit_exceeded", "stopped", "lost", "not_sent"}
+
+// String returns the text form, as in logs and metrics.
+func (o Outcome) String() string { return outcomeNames[o] }
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -169,7 +169,7 @@
 
 // Start begins a new life of the entry.
 func (e *Entry) Start() error {
-	process, err := start(e.binary, e.settings, e.log)
+	process, err := start(program{binary: e.binary, args: []string{"--settings", e.settings}, log: e.log})
 	e.Process = process
 	return err
 }
@@ -179,7 +179,7 @@
 
 // Start begins a new life of the agent.
 func (a *Agent) Start() error {
-	process, err := start(a.binary, a.settings, a.log)
+	process, err := start(program{binary: a.binary, args: []string{"--settings", a.settings}, log: a.log})
 	a.Process = process
 	return err
 }
--- a/test/cluster/forwarder.go
+++ b/test/cluster/forwarder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"time"
 
@@ -38,10 +37,13 @@
 	reply  chan<- int
 }
 
-// pair is the far side of a connection and the number of ended directions.
+// pair is the far side of a connection, its directions, and how many have ended.
 type pair struct {
-	far   net.Conn
-	ended int
+	far         net.Conn
+	there, back *flow
+	ended       int
+	// muted says that nothing passes any more.
+	muted bool
 }
 
 // directions is the number of directions of a connection.
@@ -56,6 +58,8 @@
 	pairs    map[net.Conn]*pair
 	accepted net.Conn
 	broken   int
+	// there and back are the modes of the directions.
+	there, back flowMode
 }
 
 var forwarderChart = chart.MustCompile(chartFiles, "forwarder", chart.Bindings[*forwarderActor]{
@@ -63,6 +67,11 @@
 		"pass_on":        (*forwarderActor).passOn,
 		"reject":         func(f *forwarderActor) { reset(f.accepted) },
 		"break_all":      (*forwarderActor).breakAll,
+		"mute_all":       (*forwarderActor).muteAll,
+		"hold_both":      func(f *forwarderActor) { f.setModes(flowMode{held: true}, flowMode{held: true}) },
+		"hold_answers":   func(f *forwarderActor) { f.setModes(flowMode{}, flowMode{held: true}) },
+		"delay_both":     func(f *forwarderActor) { f.setModes(flowMode{delay: flowDelay}, flowMode{delay: flowDelay}) },
+		"release_all":    func(f *forwarderActor) { f.setModes(flowMode{}, flowMode{}) },
 		"stop_listening": func(f *forwarderActor) { _ = f.listener.Close() },
 	},
 })
@@ -70,7 +79,11 @@
 var forwarderEvents struct {
 	Accepted chart.Event `chart:"accepted"`
 	Cut      chart.Event `chart:"cut"`
+	Mute     chart.Event `chart:"mute"`
 	Refuse   chart.Event `chart:"refuse"`
+	Hold     chart.Event `chart:"hold"`
+	HoldBack chart.Event `chart:"hold_back"`
+	Delay    chart.Event `chart:"delay"`
 	Resume   chart.Event `chart:"resume"`
 	Close    chart.Event `chart:"close"`
 }
@@ -102,6 +115,18 @@
 // Refuse breaks the present connections and those to come, until Resume.
 func (f *Forwarder) Refuse() int { return f.ask(forwarderEvents.Refuse) }
 
+// Mute silences the present connections for good, without an end.
+func (f *Forwarder) Mute() { f.ask(forwarderEvents.Mute) }
+
+// Hold holds the bytes of both directions back, until Resume.
+func (f *Forwarder) Hold() { f.ask(forwarderEvents.Hold) }
+
+// HoldBack holds only what the target sends back, until Resume.
+func (f *Forwarder) HoldBack() { f.ask(forwarderEvents.HoldBack) }
+
+// Delay delays the bytes of both directions, until Resume.
+func (f *Forwarder) Delay() { f.ask(forwarderEvents.Delay) }
+
 // Resume lets connections through again.
 func (f *Forwarder) Resume() { f.ask(forwarderEvents.Resume) }
 
@@ -163,19 +188,17 @@
 		reset(near)
 		return
 	}
-	f.pairs[near] = &pair{far: far}
-	go f.copy(near, far, near)
-	go f.copy(far, near, near)
+	p := &pair{far: far, there: newFlow(f.there), back: newFlow(f.back)}
+	f.pairs[near] = p
+	go f.copy(p.back, near, far, near)
+	go f.copy(p.there, far, near, near)
 }
 
 // copy runs on its own goroutine and touches none of the actor's state. It
 // passes the end of one direction on; the actor ends the connection when both
 // directions have ended, or one has failed.
-func (f *forwarderActor) copy(to, from, near net.Conn) {
-	_, err := io.Copy(to, from)
-	if err == nil {
-		err = to.(*net.TCPConn).CloseWrite()
-	}
+func (f *forwarderActor) copy(flow *flow, to, from, near net.Conn) {
+	err := flow.copy(to, from)
 	f.inbox.Send(forwarderMessage{ended: near, failed: err != nil})
 }
 
@@ -194,6 +217,8 @@
 func (f *forwarderActor) forget(near net.Conn) {
 	p := f.pairs[near]
 	delete(f.pairs, near)
+	close(p.there.ended)
+	close(p.back.ended)
 	reset(near)
 	reset(p.far)
 }
@@ -205,6 +230,25 @@
 	}
 }
 
+// setModes has the present connections and those to come work in the modes.
+func (f *forwarderActor) setModes(there, back flowMode) {
+	f.there, f.back = there, back
+	for _, p := range f.pairs {
+		if !p.muted {
+			p.there.set(there)
+			p.back.set(back)
+		}
+	}
+}
+
+func (f *forwarderActor) muteAll() {
+	for _, p := range f.pairs {
+		p.muted = true
+		p.there.set(flowMode{held: true})
+		p.back.set(flowMode{held: true})
+	}
+}
+
 // reset closes a connection without a farewell, as a failure of the network
 // would end it.
 func reset(conn net.Conn) {
--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -49,6 +49,7 @@
 		"send_stop": func(p *processActor) { p.signal(syscall.SIGSTOP) },
 		"send_cont": func(p *processActor) { p.signal(syscall.SIGCONT) },
 		"send_term": func(p *processActor) { p.signal(syscall.SIGTERM) },
+		"send_hup":  func(p *processActor) { p.signal(syscall.SIGHUP) },
 		"send_kill": func(p *processActor) { p.signal(syscall.SIGKILL) },
 		"announce":  func(p *processActor) { close(p.ended) },
 	},
@@ -58,20 +59,32 @@
 	Freeze    chart.Event `chart:"freeze"`
 	Thaw      chart.Event `chart:"thaw"`
 	Terminate chart.Event `chart:"terminate"`
+	HangUp    chart.Event `chart:"hang_up"`
 	Kill      chart.Event `chart:"kill"`
 	Exited    chart.Event `chart:"exited"`
 }
 
 func init() { processChart.MustNames(&processEvents) }
 
-// start runs a binary whose output is appended to a log file.
-func start(binary, settings, log string) (*Process, error) {
-	output, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+// program is what a process runs.
+type program struct {
+	binary string
+	args   []string
+	// env is added to the environment of the test.
+	env []string
+	// log takes the output, behind that of earlier lives.
+	log string
+}
+
+// start runs a program.
+func start(o program) (*Process, error) {
+	output, err := os.OpenFile(o.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
 	defer func() { _ = output.Close() }()
-	command := exec.Command(binary, "--settings", settings)
+	command := exec.Command(o.binary, o.args...)
+	command.Env = append(os.Environ(), o.env...)
 	command.Stdout = output
 	command.Stderr = output
 	// A test binary that is cut off takes its daemons with it.
@@ -134,6 +147,9 @@
 // Terminate asks for the planned stop and does not wait for it.
 func (p *Process) Terminate() { p.fire(processEvents.Terminate) }
 
+// HangUp tells the process that its settings may have changed.
+func (p *Process) HangUp() { p.fire(processEvents.HangUp) }
+
 // Kill ends the process at once and returns when it is gone.
 func (p *Process) Kill() {
 	p.fire(processEvents.Kill)
--- /dev/null
+++ b/test/cluster/site.go
@@ -0,0 +1,230 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cactuspost.example/platform/standin"
+)
+
+// SiteOptions sizes a site.
+type SiteOptions struct {
+	// Node is the binary of the node, see BuildNode.
+	Node string
+	// Folder takes settings and logs, NodeSettings is the deployed settings file.
+	Folder       string
+	NodeSettings string
+	Entries      int
+	Agents       int
+	// CPU is each worker's capacity in thousandths of a core.
+	CPU  uint32
+	Seed uint64
+	// Observe gets every start and end of a run.
+	Observe func(standin.RunEvent)
+}
+
+// Site is the product on a stand-in of the users' platform: entries and agents
+// are processes of their own, the store and the workers are stand-ins, and each
+// connection between two of them goes through a forwarder.
+type Site struct {
+	Store  *standin.Store
+	Fronts []*Front
+	Sides  []*Side
+}
+
+// Service is the service of a site's workers.
+const Service = "recession"
+
+// workerHeartbeat is the time between two heartbeats of a worker.
+const workerHeartbeat = 500 * time.Millisecond
+
+// workerMemMB is the memory of each worker.
+const workerMemMB = 32_768
+
+// Node is a machine with one process.
+type Node struct {
+	*Process
+	Name string
+	// Store is between the process and the store.
+	Store *Forwarder
+	// Metrics is where the process serves its metrics.
+	Metrics string
+	// Lives counts the starts of the process.
+	Lives atomic.Int64
+
+	program program
+}
+
+// Front is a machine with an entry.
+type Front struct {
+	Node
+	// Clients and Links are what clients and agents connect to; Ready is asked
+	// by the balancer.
+	Clients, Links *Forwarder
+	Ready          string
+}
+
+// Side is a machine with a worker and the agent beside it.
+type Side struct {
+	Node
+	Worker *standin.Worker
+	// Tasks is between agent and worker.
+	Tasks *Forwarder
+}
+
+// BuildNode compiles the node into a folder.
+func BuildNode(folder string) (string, error) {
+	file := filepath.Join(folder, "cactuspost-node")
+	command := exec.Command("go", "build", "-o", file, "cactuspost.example/cmd/cactuspost-node")
+	command.Stderr = os.Stderr
+	return file, errors.Wrap(command.Run(), "build the node")
+}
+
+// StartSite starts the stand-ins and the processes, which live until Close or
+// the end of the context. It does not wait until they are ready.
+func StartSite(ctx context.Context, o SiteOptions) (*Site, error) {
+	s := &Site{}
+	store, err := standin.StartStore(ctx, newAddress(), o.Seed)
+	if err != nil {
+		return s, err
+	}
+	s.Store = store
+	for i := range o.Entries {
+		if err := s.addFront(o, i); err != nil {
+			return s, err
+		}
+	}
+	var seeds []string
+	for _, f := range s.Fronts {
+		seeds = append(seeds, f.Links.Address())
+	}
+	for i := range o.Agents {
+		if err := s.addSide(ctx, o, i, seeds); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+func (s *Site) addFront(o SiteOptions, index int) error {
+	f := &Front{Node: Node{Name: fmt.Sprintf("front-%d", index+1)}, Ready: newAddress()}
+	s.Fronts = append(s.Fronts, f)
+	clients, links := newAddress(), newAddress()
+	if err := forwardTo(map[**Forwarder]string{&f.Clients: clients, &f.Links: links, &f.Store: s.Store.Address()}); err != nil {
+		return err
+	}
+	m := &standin.Machine{Name: f.Name, Front: clients, Ready: f.Ready, Control: links, Seeds: []string{f.Links.Address()}, Store: f.Store.Address()}
+	return f.prepare(o, "entry", m, f.Links.Address())
+}
+
+func (s *Site) addSide(ctx context.Context, o SiteOptions, index int, seeds []string) error {
+	d := &Side{Node: Node{Name: fmt.Sprintf("side-%02d", index+1)}}
+	s.Sides = append(s.Sides, d)
+	listen, control := newAddress(), newAddress()
+	if err := forwardTo(map[**Forwarder]string{&d.Tasks: listen, &d.Store: s.Store.Address()}); err != nil {
+		return err
+	}
+	worker, err := standin.StartWorker(ctx, standin.WorkerOptions{
+		ID: "i-" + strconv.Itoa(index+1), Service: Service, Zone: "z-1", Listen: listen, Announced: d.Tasks.Address(), Control: control,
+		Heartbeat: workerHeartbeat, CPU: o.CPU, MemMB: workerMemMB, Seed: o.Seed + uint64(index), Observe: o.Observe,
+	})
+	if err != nil {
+		return err
+	}
+	d.Worker = worker
+	m := &standin.Machine{Name: d.Name, Control: control, App: d.Tasks.Address(), Service: Service, Seeds: seeds, Store: d.Store.Address()}
+	return d.prepare(o, "agent", m, "")
+}
+
+func forwardTo(targets map[**Forwarder]string) error {
+	for forwarder, target := range targets {
+		f, err := forward(newAddress(), target)
+		if err != nil {
+			return err
+		}
+		*forwarder = f
+	}
+	return nil
+}
+
+// prepare writes both settings files of a machine and starts its process.
+func (n *Node) prepare(o SiteOptions, role string, m *standin.Machine, advertised string) error {
+	n.Metrics = newAddress()
+	ip, port, err := net.SplitHostPort(newAddress())
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	m.Zone, m.IP = "z-1", ip
+	if m.FirstPort, err = strconv.Atoi(port); err != nil {
+		return errors.WithStack(err)
+	}
+	platform := filepath.Join(o.Folder, n.Name+".toml")
+	own := filepath.Join(o.Folder, n.Name+".jsonc")
+	if err := os.WriteFile(platform, []byte(m.Settings()), 0o600); err != nil {
+		return errors.WithStack(err)
+	}
+	text, err := n.settings(o.NodeSettings, advertised)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(own, []byte(text), 0o600); err != nil {
+		return errors.WithStack(err)
+	}
+	n.program = program{
+		binary: o.Node, args: []string{role, "--settings", own},
+		env: []string{standin.SettingsVariable + "=" + platform}, log: filepath.Join(o.Folder, n.Name+".log"),
+	}
+	return n.Start()
+}
+
+// settings returns the deployed settings with what differs on one machine for all
+// processes: the port of the metrics and the forwarder before the links.
+func (n *Node) settings(file, advertised string) (string, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	_, port, err := net.SplitHostPort(n.Metrics)
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	text := strings.Replace(string(raw), `"metrics_port": 9464`, `"metrics_port": `+port, 1)
+	if advertised != "" {
+		text = strings.Replace(text, `"log_level"`, fmt.Sprintf(`"advertised_link_address": %q, "log_level"`, advertised), 1)
+	}
+	return text, nil
+}
+
+// Start begins a new life of the process.
+func (n *Node) Start() error {
+	process, err := start(n.program)
+	if err != nil {
+		return err
+	}
+	n.Lives.Add(1)
+	n.Process = process
+	return nil
+}
+
+// Log is the file that the process writes to, over all its lives.
+func (n *Node) Log() string { return n.program.log }
+
+// Close kills what still runs. The stand-ins end with their context.
+func (s *Site) Close() {
+	for _, f := range s.Fronts {
+		closeAll(f.Process, f.Clients, f.Links, f.Store)
+	}
+	for _, d := range s.Sides {
+		closeAll(d.Process, d.Tasks, d.Store)
+	}
+}
--- /dev/null
+++ b/test/operations/explain_test.go
@@ -0,0 +1,188 @@
+// Package operations shows with real processes that a failed request can be
+// explained from the logs alone.
+package operations
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cactuspost.example/internal/cli"
+	"cactuspost.example/internal/event"
+	"cactuspost.example/platform/standin"
+	"cactuspost.example/test/cluster"
+)
+
+const (
+	host   = "desk.example"
+	prefix = "/jobs/"
+	// readyBound bounds the start of a site, lookAgain separates two looks at it.
+	readyBound = 30 * time.Second
+	lookAgain  = 50 * time.Millisecond
+	// workerCPU is the worker's capacity in thousandths of a core.
+	workerCPU = 4000
+)
+
+// node is the binary under test, built once.
+var node string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "cactuspost-operations")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	if node, err = cluster.BuildNode(folder); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// place is a site of one entry and one worker.
+type place struct {
+	is     *is.I
+	site   *cluster.Site
+	folder string
+	client *standin.Client
+}
+
+func newPlace(t *testing.T) *place {
+	t.Helper()
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	p := &place{is: is, folder: t.TempDir()}
+	site, err := cluster.StartSite(ctx, cluster.SiteOptions{
+		Node: node, Folder: p.folder, NodeSettings: "../../deploy/node.jsonc", Entries: 1, Agents: 1, CPU: workerCPU, Seed: 1,
+		Observe: func(standin.RunEvent) {},
+	})
+	t.Cleanup(site.Close)
+	is.NoErr(err)
+	p.site = site
+	site.Store.Put(standin.ConfigTable, standin.ConfigKey, standin.Configuration(1, []standin.Route{
+		{Name: "jobs", Host: host, Prefix: prefix, Service: cluster.Service, TimeoutMS: 4000, ObjectiveMS: 400, Stretch: 2, MaxAttempts: 2},
+	}))
+	p.client = standin.NewClient(site.Fronts[0].Clients.Address())
+	// The first job that is served shows that the worker is connected.
+	until := time.Now().Add(readyBound)
+	for n := 0; ; n++ {
+		reply, err := p.submit(fmt.Sprintf("%016x", n), 20*time.Millisecond, 20*time.Millisecond, 500, 2*time.Second)
+		if err == nil && reply.Status == http.StatusOK {
+			return p
+		}
+		is.True(time.Now().Before(until)) // the site serves
+		time.Sleep(lookAgain)
+	}
+}
+
+// submit sends a job of two tasks that run for length and are declared to take
+// estimate.
+func (p *place) submit(id string, length, estimate time.Duration, cpu uint32, deadline time.Duration) (standin.Reply, error) {
+	return p.client.Submit(host, prefix, &standin.Job{
+		ID: id, Spec: standin.Spec(length, cpu, false), Tasks: 2, CPU: cpu, MemMB: 64, Estimate: estimate, Deadline: deadline,
+	})
+}
+
+// explain runs the command on the logs of all processes, but for the lines that
+// are left out, and returns what it prints as the cause.
+func (p *place) explain(id string, without ...event.ID) string {
+	p.is.Helper()
+	time.Sleep(2 * lookAgain) // the writers of the logs are at rest then
+	logs, err := filepath.Glob(filepath.Join(p.folder, "*.log"))
+	p.is.NoErr(err)
+	args := []string{"cactuspost", "explain", id}
+	for i, log := range logs {
+		raw, err := os.ReadFile(log)
+		p.is.NoErr(err)
+		for _, left := range without {
+			raw = withoutLines(raw, left)
+		}
+		file := filepath.Join(p.folder, fmt.Sprintf("copy-%d.txt", i))
+		p.is.NoErr(os.WriteFile(file, raw, 0o600))
+		args = append(args, file)
+	}
+	var out bytes.Buffer
+	app := cli.App()
+	app.Writer = &out
+	p.is.NoErr(app.Run(context.Background(), args))
+	_, cause, found := strings.Cut(out.String(), "cause: ")
+	p.is.True(found)
+	return strings.TrimSpace(cause)
+}
+
+func withoutLines(raw []byte, left event.ID) []byte {
+	var kept []byte
+	for line := range bytes.Lines(raw) {
+		if !bytes.Contains(line, fmt.Appendf(nil, `"event":%d,`, left)) && !bytes.Contains(line, fmt.Appendf(nil, `"event":%d}`, left)) {
+			kept = append(kept, line...)
+		}
+	}
+	return kept
+}
+
+func TestRefusedRequestIsExplained(t *testing.T) {
+	p := newPlace(t)
+	const id = "00000000000000a1"
+	reply, err := p.submit(id, time.Second, time.Minute, 500, time.Second)
+	p.is.NoErr(err)
+	p.is.Equal(reply.Status, http.StatusServiceUnavailable)
+	p.is.True(reply.RetryAfter)
+	const cause = "refused by front-1: overloaded (not run): the job would end after its deadline"
+	p.is.True(strings.Contains(p.explain(id), cause))
+	p.is.True(strings.Contains(p.explain(id), "workers 1"))
+	p.is.True(!strings.Contains(p.explain(id, event.JobRefused), cause))
+}
+
+func TestRequestLostToAWorkerIsExplained(t *testing.T) {
+	p := newPlace(t)
+	const id = "00000000000000a2"
+	go func() {
+		time.Sleep(300 * time.Millisecond)
+		p.site.Sides[0].Worker.Fire(standin.Events.Crash)
+	}()
+	reply, err := p.submit(id, time.Second, time.Second, 500, 2500*time.Millisecond)
+	p.is.NoErr(err)
+	p.is.True(reply.Status == http.StatusBadGateway || reply.Status == http.StatusGatewayTimeout)
+	const cause = "before that: run failed, task 00000000000000a2"
+	t.Log(p.explain(id))
+	p.is.True(strings.Contains(p.explain(id), cause))
+	p.is.True(strings.Contains(p.explain(id), "at side-01 (outcome lost)"))
+	p.is.True(!strings.Contains(p.explain(id, event.RunFailed), cause))
+}
+
+func TestLateRequestIsExplained(t *testing.T) {
+	p := newPlace(t)
+	const long, id = "00000000000000a3", "00000000000000a4"
+	other := standin.NewClient(p.site.Fronts[0].Clients.Address())
+	go func() {
+		_, _ = other.Submit(host, prefix, &standin.Job{
+			ID: long, Spec: standin.Spec(time.Second, workerCPU, false), Tasks: 1, CPU: workerCPU, MemMB: 64, Estimate: time.Second, Deadline: 3 * time.Second,
+		})
+	}()
+	time.Sleep(200 * time.Millisecond)
+	reply, err := p.client.Submit(host, prefix, &standin.Job{
+		ID: id, Spec: standin.Spec(50*time.Millisecond, 500, false), Tasks: 1, CPU: 500, MemMB: 64, Estimate: 50 * time.Millisecond, Deadline: 3 * time.Second,
+	})
+	p.is.NoErr(err)
+	p.is.Equal(reply.State, "completed")
+	cause := p.explain(id)
+	p.is.True(strings.Contains(cause, "longest part: run started of task 00000000000000a4"))
+	p.is.True(strings.Contains(cause, "queued_ms"))
+	p.is.True(!strings.Contains(p.explain(id, event.RunStarted), "queued_ms"))
+}
--- /dev/null
+++ b/test/soak/main_test.go
@@ -0,0 +1,44 @@
+// Package soak runs the node's processes on a stand-in of the platform under
+// random faults, and checks what callers and workers see.
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"cactuspost.example/test/cluster"
+)
+
+var (
+	seedCount = flag.Int("soak.seeds", 1, "number of seeds to run")
+	firstSeed = flag.Uint64("soak.first", 1, "first seed")
+	length    = flag.Duration("soak.length", 20*time.Second, "time with faults for each seed")
+	keep      = flag.String("soak.keep", "", "folder for the logs of runs that fail")
+	entries   = flag.Int("soak.entries", 3, "number of entries")
+	agents    = flag.Int("soak.agents", 6, "number of agents")
+)
+
+// node is the binary under test, built once.
+var node string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "cactuspost-soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	if node, err = cluster.BuildNode(folder); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
--- /dev/null
+++ b/test/soak/operator_test.go
@@ -0,0 +1,116 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"cactuspost.example/platform/standin"
+	"cactuspost.example/test/cluster"
+)
+
+const (
+	// publishEvery separates the operator's configurations, probeEvery the
+	// questions which one is in force at an entry.
+	publishEvery = 3 * time.Second
+	probeEvery   = 200 * time.Millisecond
+	probeTimeout = 500 * time.Millisecond
+)
+
+// probe is an answer to the question which configuration is in force.
+type probe struct {
+	front   *cluster.Front
+	life    int64
+	sentAt  time.Time
+	version uint64
+}
+
+// operator writes configurations and asks each entry which one is in force.
+// Version N has a route of its own, /vN/. It is one goroutine.
+type operator struct {
+	soak *soak
+	// publishedAt holds the time of each version, from 1.
+	publishedAt []time.Time
+	probes      []probe
+	clients     []*standin.Client
+}
+
+func newOperator(s *soak) *operator {
+	o := &operator{soak: s}
+	for _, f := range s.site.Fronts {
+		o.clients = append(o.clients, standin.NewClient(f.Clients.Address()))
+	}
+	return o
+}
+
+func (o *operator) version() uint64 { return uint64(len(o.publishedAt)) }
+
+func (o *operator) publish() {
+	version := o.version() + 1
+	route := func(name, prefix string) standin.Route {
+		return standin.Route{Name: name, Host: host, Prefix: prefix, Service: cluster.Service, TimeoutMS: 1500, ObjectiveMS: 300, Stretch: 4, MaxAttempts: 3}
+	}
+	o.soak.site.Store.Put(standin.ConfigTable, standin.ConfigKey, standin.Configuration(version, []standin.Route{
+		route("jobs", jobsPrefix), route(fmt.Sprintf("v%d", version), prefixOf(version)),
+	}))
+	o.publishedAt = append(o.publishedAt, time.Now())
+}
+
+func prefixOf(version uint64) string { return fmt.Sprintf("/v%d/", version) }
+
+// run publishes and probes until stop is closed.
+func (o *operator) run(ctx context.Context, stop <-chan struct{}) {
+	for ctx.Err() == nil {
+		select {
+		case <-stop:
+			return
+		case <-time.After(probeEvery):
+		}
+		if time.Since(o.publishedAt[len(o.publishedAt)-1]) > publishEvery {
+			o.publish()
+		}
+		for i, f := range o.soak.site.Fronts {
+			o.probe(i, f)
+		}
+	}
+}
+
+// probe asks for the newest versions until one is found. An answer that came
+// while the process was replaced tells nothing.
+func (o *operator) probe(i int, f *cluster.Front) {
+	life := f.Lives.Load()
+	for version := o.version(); version > 0 && version+3 > o.version(); version-- {
+		sentAt := time.Now()
+		reply, err := o.clients[i].Pending(host, prefixOf(version), probeTimeout)
+		if err != nil || life != f.Lives.Load() || (reply.Status != 200 && reply.Status != 404) {
+			return
+		}
+		if reply.Status == 200 {
+			o.probes = append(o.probes, probe{front: f, life: life, sentAt: sentAt, version: version})
+			return
+		}
+	}
+}
+
+// judge checks that configurations never go back in a life of an entry, and that
+// in calm times they are in force within their bound.
+func (o *operator) judge(disrupted func(from, to time.Time) bool) (broken []string) {
+	newest := map[string]uint64{}
+	for _, p := range o.probes {
+		life := strings.Join([]string{p.front.Name, fmt.Sprint(p.life)}, "/")
+		if p.version < newest[life] {
+			broken = append(broken, fmt.Sprintf("%s went back from version %d to %d, %s", life, newest[life], p.version, clock(p.sentAt)))
+		}
+		newest[life] = max(newest[life], p.version)
+		next := int(p.version) // the index of the next version
+		if next >= len(o.publishedAt) {
+			continue
+		}
+		due := o.publishedAt[next].Add(configBound)
+		if p.sentAt.After(due) && !disrupted(o.publishedAt[next].Add(-touchBound), p.sentAt) {
+			broken = append(broken, fmt.Sprintf("%s has version %d %v after the next one, %s", life, p.version, p.sentAt.Sub(o.publishedAt[next]), clock(p.sentAt)))
+		}
+	}
+	return broken
+}
