Calls of a worker that fail at once are paced

Ruled out: overtaken looks (three side by side at most, every 50 ms) and orders (two connections). Looks and stop orders are now at least 50 ms apart when they fail (TestWorkerThatBreaksConnectionsIsNotCalledInALoop, which fails without either).

--- a/internal/leased/charts.go
+++ b/internal/leased/charts.go
@@ -23,6 +23,7 @@
 			"start_expired": func(s orderStep) bool { return s.core.startExpired(s.order) },
 		},
 		Actions: map[string]func(orderStep){
+			"schedule_stop":    func(s orderStep) { s.core.scheduleStop(s.order) },
 			"send_stop":        func(s orderStep) { s.core.sendStop(s.order) },
 			"report_end":       func(s orderStep) { s.core.reportEnd(s.order) },
 			"report_rejected":  func(s orderStep) { s.core.reportRejected(s.order) },
@@ -39,6 +40,7 @@
 	Stop       chart.Event `chart:"stop"`
 	Stopped    chart.Event `chart:"stopped"`
 	StopLost   chart.Event `chart:"stop_lost"`
+	StopDue    chart.Event `chart:"stop_due"`
 	Listed     chart.Event `chart:"listed"`
 	Missing    chart.Event `chart:"missing"`
 	Lapsed     chart.Event `chart:"lapsed"`
--- a/internal/leased/core.go
+++ b/internal/leased/core.go
@@ -35,6 +35,10 @@
 	// is sent beside it, and maxLooks the number of looks side by side.
 	overtakeAfter = 50 * time.Millisecond
 	maxLooks      = 3
+	// retryPause is the least time between the beginnings of two attempts of a call:
+	// a worker that breaks connections at once is not called in a loop. It is longer
+	// than an order's time limit.
+	retryPause = 50 * time.Millisecond
 	// refusedPause is the time between two looks at a worker that accepts no
 	// connection.
 	refusedPause = 100 * time.Millisecond
@@ -71,7 +75,7 @@
 	looks    int
 	lookedAt time.Time
 	lookNow  bool
-	// lookAt is when a worker that accepts no connection is tried again.
+	// lookAt is when a worker that has failed a look is tried again.
 	lookAt time.Time
 
 	orders  map[structs.GrantID]*order
@@ -127,6 +131,7 @@
 			delete(c.numbers, task)
 		}
 	}
+	c.repeatStops()
 	c.look()
 }
 
@@ -191,6 +196,7 @@
 		c.lookAt = c.now.Add(refusedPause)
 		c.fire(tenureEvents.Refused)
 	default:
+		c.lookAt = c.lookedAt.Add(retryPause)
 		c.fire(tenureEvents.Unanswered)
 	}
 	c.report = nil
--- a/internal/leased/core_test.go
+++ b/internal/leased/core_test.go
@@ -155,6 +155,7 @@
 	run := b.start(1)
 	b.step(&StartAnswered{Run: run, Verdict: Unanswered})
 	b.step(&StopAnswered{Run: run, Verdict: Unanswered})
+	b.tick(retryPause)
 	b.Equal(count[*SendStop](b), 2)
 	b.tick(2 * defaultLease) // the start order would be refused as late now
 	b.Equal(last[*Exited](b).Outcome, structs.Lost)
@@ -206,6 +207,25 @@
 	b.True(b.core.looks <= maxLooks)
 }
 
+func TestWorkerThatBreaksConnectionsIsNotCalledInALoop(t *testing.T) {
+	b := heldBench(t)
+	run := b.start(1)
+	b.step(&StartAnswered{Run: run, Verdict: Unanswered})
+	looks, stops := count[*Look](b), count[*SendStop](b)
+	const step = time.Millisecond
+	for range retryPause / step {
+		for range maxLooks {
+			if b.core.looks > 0 {
+				b.look(Unanswered, Report{})
+			}
+		}
+		b.step(&StopAnswered{Run: run, Verdict: Unanswered})
+		b.tick(step)
+	}
+	b.True(count[*Look](b)-looks <= 2)
+	b.True(count[*SendStop](b)-stops <= 2)
+}
+
 func TestSecondRunOfATaskWaitsForTheEndOfTheFirst(t *testing.T) {
 	b := heldBench(t)
 	b.start(1)
--- a/internal/leased/order.go
+++ b/internal/leased/order.go
@@ -22,6 +22,10 @@
 	answeredAt time.Time
 	verdict    Verdict
 	how        How
+	// stoppedAt is when the last stop order was sent, stopAt when the next one is
+	// due; zero means none.
+	stoppedAt time.Time
+	stopAt    time.Time
 }
 
 func (c *Core) fireOrder(o *order, e chart.Event) {
@@ -94,7 +98,23 @@
 	return c.clock+time.Duration((1-clockError)*float64(elapsed)) > o.until
 }
 
-func (c *Core) sendStop(o *order) { c.emit(&SendStop{Run: o.run, Token: c.token}) }
+func (c *Core) sendStop(o *order) {
+	o.stoppedAt = c.now
+	o.stopAt = time.Time{}
+	c.emit(&SendStop{Run: o.run, Token: c.token})
+}
+
+// scheduleStop repeats a stop order: at once if the last one took its whole time.
+func (c *Core) scheduleStop(o *order) { o.stopAt = o.stoppedAt.Add(retryPause) }
+
+// repeatStops sends the stop orders that are due.
+func (c *Core) repeatStops() {
+	for _, o := range c.sortedOrders() {
+		if !o.stopAt.IsZero() && !c.now.Before(o.stopAt) {
+			c.fireOrder(o, orderEvents.StopDue)
+		}
+	}
+}
 
 func (c *Core) reportEnd(o *order) {
 	outcome := structs.Lost
