A job of which nothing has started is refused truly, also when agents hold grants of it

A job that waited too long, and of whose tasks some waited at agents without having started, counted as begun: it was held to its caller's deadline and answered with an unknown outcome. Its agents are now asked for what waits there (new state withdrawing of chart job), and once they have given it back the caller is told that nothing ran, and when to come back. Jobs all of whose tasks wait at agents are looked at, too. Ruled out: calling it not run at once, since a waiting grant may start while the message is under way.

Tests: TestJobWhoseTasksOnlyWaitAtAgentsIsRefusedTruly, TestJobOfWhichATaskStartsWhileItIsWithdrawnIsNotCalledNotRun.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -260,10 +260,31 @@
 func (c *Core) shedHopeless(l *lane) {
 	for l.waiting > 0 && l.pool.hopeless(l.first().job, c.now) {
 		j := l.first().job
-		if j.untouched() {
-			c.fireJob(j, jobEvents.Shed, nil)
-			continue
+		c.giveUp(j)
+	}
+}
+
+// giveUp ends a job that can't end in time. If nothing of it has started, its
+// caller is told so, once agents have given back what waits there.
+func (c *Core) giveUp(j *job) {
+	if j.unstarted() {
+		c.fireJob(j, jobEvents.Shed, nil)
+		return
+	}
+	c.fireJob(j, jobEvents.Expire, nil)
+}
+
+// giveUpQueued ends the jobs that can't end in time and whose tasks all wait at
+// agents, where other tasks may go before them for as long as these come.
+func (c *Core) giveUpQueued() {
+	var late []*job
+	for _, j := range c.named {
+		if j.timed() && c.now.After(j.endBy) && j.unstarted() {
+			late = append(late, j)
 		}
-		c.fireJob(j, jobEvents.Expire, nil)
+	}
+	slices.SortFunc(late, func(a, b *job) int { return cmp.Compare(a.id.Seq, b.id.Seq) })
+	for _, j := range late {
+		c.giveUp(j)
 	}
 }
--- a/internal/dispatch/attached_test.go
+++ b/internal/dispatch/attached_test.go
@@ -321,6 +321,55 @@
 	b.True(b.now.Sub(began) < 10*time.Second-100*time.Millisecond) // before the caller's deadline
 }
 
+func TestJobWhoseTasksOnlyWaitAtAgentsIsRefusedTruly(t *testing.T) {
+	b := newTimedBench(t)
+	b.dividedWorker(1, 1, 10)
+	b.runJob("busy", 1, 1000)
+	b.Equal(len(b.grants()), 1)
+	reply := b.runJob("a", 2, 1000)
+	queued := b.grants()
+	b.Equal(len(queued), 1) // it waits at the agent, the other task here
+	b.True(queued[0].Queued)
+	b.pass(time.Second)               // three times its objective has passed
+	b.True(last[*Answered](b) == nil) // it may start now
+	b.Equal(b.cancels(), []structs.GrantID{queued[0].ID})
+	b.step(&AgentMessage{Link: 1, Message: &structs.FromAgent{Offered: structs.Credits{Any: 10}}})
+	b.Equal(len(b.grants()), 0) // what waited here is not granted any more
+	b.step(&AgentMessage{Link: 1, Message: &structs.FromAgent{
+		Refusals: []structs.Refusal{{Grant: queued[0].ID, Reason: structs.QueueFull}},
+	}})
+	b.Equal(last[*Answered](b).Reply, reply)
+	b.Equal(last[*Answered](b).Answer.Failure.Run, failure.NotRun)
+	b.True(last[*Answered](b).Answer.Failure.RetryAfter > 0)
+	b.Equal(len(b.grants()), 0)
+	b.Equal(b.core.openJobs, 1)
+	b.Equal(b.core.waitingBytes, 0)
+}
+
+func TestJobOfWhichATaskStartsWhileItIsWithdrawnIsNotCalledNotRun(t *testing.T) {
+	b := newTimedBench(t)
+	b.dividedWorker(1, 1, 10)
+	b.runJob("busy", 1, 1000)
+	b.grants()
+	b.runJob("a", 1, 1000)
+	queued := b.grants()
+	b.pass(time.Second)
+	b.step(&AgentMessage{Link: 1, Message: &structs.FromAgent{Started: []structs.GrantID{queued[0].ID}}})
+	b.True(last[*Answered](b).Answer.Failure.Run != failure.NotRun)
+}
+
+// cancels returns the grants that were cancelled and forgets them.
+func (b *bench) cancels() []structs.GrantID {
+	var ids []structs.GrantID
+	for _, e := range b.effects {
+		if send, ok := e.(*Send); ok {
+			ids = append(ids, send.Message.Cancels...)
+			send.Message.Cancels = nil
+		}
+	}
+	return ids
+}
+
 func TestNothingIsGrantedRightAfterASuspension(t *testing.T) {
 	b := newTimedBench(t)
 	b.dividedWorker(1, 1, 40)
--- a/internal/dispatch/charts.go
+++ b/internal/dispatch/charts.go
@@ -82,6 +82,7 @@
 			"admitted":  func(s jobStep) bool { return s.core.admit(s.job, s.submit) },
 			"all_done":  func(s jobStep) bool { return s.job.done == len(s.job.tasks) },
 			"untouched": func(s jobStep) bool { return s.job.untouched() },
+			"unstarted": func(s jobStep) bool { return s.job.unstarted() },
 		},
 		Actions: map[string]func(jobStep){
 			"accept":          func(s jobStep) { s.core.accept(s.job, s.submit) },
@@ -91,6 +92,7 @@
 			"fail_shed":       func(s jobStep) { s.core.fail(s.job, shedFailure(s.job)) },
 			"fail_cancelled":  func(s jobStep) { s.core.fail(s.job, cancelFailure(s.job)) },
 			"fail_expired":    func(s jobStep) { s.core.fail(s.job, expiryFailure(s.job)) },
+			"withdraw_tasks":  func(s jobStep) { s.core.withdrawTasks(s.job) },
 			"stop_tasks":      func(s jobStep) { s.core.stopTasks(s.job) },
 		},
 	})
@@ -100,16 +102,19 @@
 	Submit     chart.Event `chart:"submit"`
 	TaskDone   chart.Event `chart:"task_done"`
 	TaskFailed chart.Event `chart:"task_failed"`
+	TaskBegun  chart.Event `chart:"task_begun"`
+	TaskBack   chart.Event `chart:"task_back"`
 	Shed       chart.Event `chart:"shed"`
 	Cancel     chart.Event `chart:"cancel"`
 	Expire     chart.Event `chart:"expire"`
 }
 
 var jobStates struct {
-	Created  chart.State `chart:"created"`
-	Open     chart.State `chart:"open"`
-	Complete chart.State `chart:"complete"`
-	Failed   chart.State `chart:"failed"`
+	Created     chart.State `chart:"created"`
+	Open        chart.State `chart:"open"`
+	Withdrawing chart.State `chart:"withdrawing"`
+	Complete    chart.State `chart:"complete"`
+	Failed      chart.State `chart:"failed"`
 }
 
 // sessionStep is the context of chart session.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -142,6 +142,7 @@
 		return
 	}
 	c.lastScan = now
+	c.giveUpQueued()
 	for _, p := range c.ordered {
 		for _, s := range slices.Clone(p.sessions) {
 			c.scanSession(s)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -60,6 +60,21 @@
 	return true
 }
 
+// unstarted reports whether no task of the job is known to have started: those
+// that were granted wait at their agents for room, which can give them back.
+func (j *job) unstarted() bool {
+	if j.ran {
+		return false
+	}
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.state != taskStates.Waiting && (t.state != taskStates.Granted || !t.inQueue) {
+			return false
+		}
+	}
+	return true
+}
+
 // run says what is known about the execution of the job's tasks.
 func (j *job) run() failure.Run {
 	if j.untouched() {
@@ -79,6 +94,9 @@
 
 func (j *job) ended() bool { return jobChart.Final(j.state) }
 
+// open reports whether the job was accepted and has no answer yet.
+func (j *job) open() bool { return j.state == jobStates.Open || j.state == jobStates.Withdrawing }
+
 func (c *Core) createJobs(m *CreateJobs) {
 	service, f := c.checkCreate(m)
 	if f != nil {
@@ -233,12 +251,12 @@
 	if before == j.state {
 		return
 	}
-	if before == jobStates.Open {
-		c.openJobs--
-	}
-	if j.state == jobStates.Open {
+	if j.open() && before == jobStates.Created {
 		c.openJobs++
 	}
+	if j.ended() && before != jobStates.Created {
+		c.openJobs--
+	}
 	if j.ended() {
 		c.jobEnded(j)
 	}
@@ -284,6 +302,15 @@
 	j.failure = f
 }
 
+// withdrawTasks keeps the job's tasks from being granted and asks their agents
+// for those that wait there.
+func (c *Core) withdrawTasks(j *job) {
+	for i := range j.tasks {
+		j.tasks[i].leaveQueue()
+		c.fireTask(&j.tasks[i], taskEvents.Recall, nil, nil)
+	}
+}
+
 // stopTasks ends every task of a job that is over.
 func (c *Core) stopTasks(j *job) {
 	for i := range j.tasks {
@@ -297,7 +324,7 @@
 func (j *job) answer() structs.Answer {
 	a := structs.Answer{ID: j.id, State: structs.JobCreated, Failure: j.failure}
 	switch j.state {
-	case jobStates.Open:
+	case jobStates.Open, jobStates.Withdrawing:
 		a.State = structs.JobOpen
 		j.count(&a)
 	case jobStates.Complete:
--- a/internal/dispatch/objective.go
+++ b/internal/dispatch/objective.go
@@ -139,7 +139,7 @@
 
 // lastEnd is when the job has to end at the latest.
 func (j *job) lastEnd() time.Time {
-	if j.untouched() {
+	if j.unstarted() {
 		return j.endBy
 	}
 	return j.deadline
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -64,7 +64,8 @@
 }
 
 func (c *Core) takeRefusal(s *session, t *task, reason structs.RefusalReason) {
-	if t.inQueue {
+	// A grant that was asked back says nothing about the agent.
+	if t.inQueue && t.state == taskStates.Granted {
 		s.queueAfter = c.now.Add(queuePause)
 	}
 	switch reason {
@@ -89,6 +90,7 @@
 		if t := s.granted[id]; t != nil {
 			t.leaveAgentQueue()
 			t.grantedAt = c.now
+			c.fireJob(t.job, jobEvents.TaskBegun, nil)
 		}
 	}
 }
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -123,6 +123,8 @@
 		c.forgetPayload(t)
 	}
 	switch t.state {
+	case taskStates.Waiting:
+		c.fireJob(t.job, jobEvents.TaskBack, nil)
 	case taskStates.Done:
 		c.stats.TasksDone++
 		t.job.done++
@@ -177,8 +179,10 @@
 	t.lane.adjust(-t.cost)
 	t.lane = t.lane.pool.lane(t.lane.laneKey)
 	t.lane.weight = c.weight(t.lane.team, t.lane.service)
-	t.lane.pushFront(t)
 	c.waitingBytes += len(t.payload)
+	if t.job.state != jobStates.Withdrawing {
+		t.lane.pushFront(t)
+	}
 }
 
 func (c *Core) forgetPayload(t *task) {
--- a/spec/dispatch/bindings.pml
+++ b/spec/dispatch/bindings.pml
@@ -8,6 +8,9 @@
 #define job_do_answer_complete(j) say_complete(j)
 #define job_do_fail_by_task(j) say_failed(j, 0)
 #define job_do_fail_refused(j) say_failed(j, 1)
+/* No grant waits at an agent in this model. */
+#define job_if_unstarted(j) false
+#define job_do_withdraw_tasks(j) skip
 #define job_do_fail_shed(j) say_failed(j, 1)
 #define job_do_fail_cancelled(j) say_failed(j, job_if_untouched(j))
 #define job_do_fail_expired(j) say_failed(j, job_if_untouched(j))
--- a/spec/gen/job.pml
+++ b/spec/gen/job.pml
@@ -4,6 +4,7 @@
 #define job_created 1
 #define job_failed 2
 #define job_open 3
+#define job_withdrawing 4
 #define job_initial job_created
 #define job_is_final(state) ((state) == job_complete || (state) == job_failed)
 #define job_fire(self, event) job_on_##event(self)
@@ -17,6 +18,10 @@
     job_do_fail_cancelled(self);
     job_do_stop_tasks(self);
     job_state[self] = job_failed
+  :: job_state[self] == job_withdrawing ->
+    job_do_fail_cancelled(self);
+    job_do_stop_tasks(self);
+    job_state[self] = job_failed
   :: else -> skip
   fi
 }
@@ -30,6 +35,10 @@
     job_do_fail_expired(self);
     job_do_stop_tasks(self);
     job_state[self] = job_failed
+  :: job_state[self] == job_withdrawing ->
+    job_do_fail_expired(self);
+    job_do_stop_tasks(self);
+    job_state[self] = job_failed
   :: else -> skip
   fi
 }
@@ -43,7 +52,13 @@
       job_do_stop_tasks(self);
       job_state[self] = job_failed
     :: else ->
-      job_state[self] = job_open
+      if
+      :: job_if_unstarted(self) ->
+        job_do_withdraw_tasks(self);
+        job_state[self] = job_withdrawing
+      :: else ->
+        job_state[self] = job_open
+      fi
     fi
   :: else -> skip
   fi
@@ -64,6 +79,31 @@
   fi
 }
 
+inline job_on_task_back(self) {
+  if
+  :: job_state[self] == job_withdrawing ->
+    if
+    :: job_if_untouched(self) ->
+      job_do_fail_shed(self);
+      job_do_stop_tasks(self);
+      job_state[self] = job_failed
+    :: else ->
+      job_state[self] = job_withdrawing
+    fi
+  :: else -> skip
+  fi
+}
+
+inline job_on_task_begun(self) {
+  if
+  :: job_state[self] == job_withdrawing ->
+    job_do_fail_expired(self);
+    job_do_stop_tasks(self);
+    job_state[self] = job_failed
+  :: else -> skip
+  fi
+}
+
 inline job_on_task_done(self) {
   if
   :: job_state[self] == job_open ->
@@ -74,6 +114,10 @@
     :: else ->
       job_state[self] = job_open
     fi
+  :: job_state[self] == job_withdrawing ->
+    job_do_fail_expired(self);
+    job_do_stop_tasks(self);
+    job_state[self] = job_failed
   :: else -> skip
   fi
 }
@@ -84,6 +128,10 @@
     job_do_fail_by_task(self);
     job_do_stop_tasks(self);
     job_state[self] = job_failed
+  :: job_state[self] == job_withdrawing ->
+    job_do_fail_by_task(self);
+    job_do_stop_tasks(self);
+    job_state[self] = job_failed
   :: else -> skip
   fi
 }
