An entry that was given up hears of its agent only when the runs have ended

An agent that gives an entry up stops its runs, which takes up to 50 ms, and begins a new session at its next hello, from which the entry concludes that nothing of the old one goes on; a hello in between had the task run elsewhere too early. Ruled out: the entry's grace for a lost agent (950 ms had not passed) and orders carried out late (run 1 was started and stopped in order). The next hello now waits for the end of the runs, and an attempt to connect that is under way when the entry is given up is ended (TestEntryThatWasGivenUpIsDialledAfterItsRunsHaveEnded, which fails without).

--- a/internal/agent/charts.go
+++ b/internal/agent/charts.go
@@ -141,6 +141,17 @@
 	Withdrawn chart.Event `chart:"withdrawn"`
 }
 
+var runStates struct {
+	Received chart.State `chart:"received"`
+	Queued   chart.State `chart:"queued"`
+	Refused  chart.State `chart:"refused"`
+	Running  chart.State `chart:"running"`
+	Stopping chart.State `chart:"stopping"`
+	Finished chart.State `chart:"finished"`
+	Orphaned chart.State `chart:"orphaned"`
+	Ended    chart.State `chart:"ended"`
+}
+
 func init() {
 	linkChart = compileLinkChart()
 	slotChart = compileSlotChart()
@@ -150,4 +161,5 @@
 	slotChart.MustNames(&slotEvents)
 	slotChart.MustNames(&slotStates)
 	runChart.MustNames(&runEvents)
+	runChart.MustNames(&runStates)
 }
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -91,14 +91,25 @@
 }
 
 // needs reports whether the agent wants a connection: a leaving one only to
-// hand over results, and none while a predecessor's runs may go on.
+// hand over results, and none while runs may go on that the entry would take for
+// lost: those of a predecessor, and those that were given up with the entry.
 func (c *Core) needs(l *link) bool {
-	if !c.takenOver {
+	if !c.takenOver || (l.session == 0 && c.hasOrphans(l)) {
 		return false
 	}
 	return !c.leaving() || len(c.runsOf(l)) > 0
 }
 
+// hasOrphans reports whether runs of the entry that were given up have not ended.
+func (c *Core) hasOrphans(l *link) bool {
+	for _, r := range c.runs {
+		if r.state == runStates.Orphaned && r.link.address == l.address {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Core) dropForgotten() {
 	c.links = slices.DeleteFunc(c.links, func(l *link) bool { return l.state == linkStates.Forgotten })
 }
--- a/internal/agent/queue_test.go
+++ b/internal/agent/queue_test.go
@@ -61,6 +61,37 @@
 	is.Equal(dials(), 1)
 }
 
+func TestEntryThatWasGivenUpIsDialledAfterItsRunsHaveEnded(t *testing.T) {
+	b := newQueueBench(t)
+	b.pass(2 * restTime)
+	id := b.queue(0, 1, 10, 0)
+	b.Equal(b.core.runs[id].state, runStates.Running)
+	b.step(&LinkClosed{Link: b.links[0]})
+	for b.core.runs[id].state != runStates.Orphaned {
+		b.pass(100 * time.Millisecond)
+	}
+	// A hello now would have the entry run the task elsewhere at once.
+	b.effects = nil
+	for range 50 {
+		b.pass(100 * time.Millisecond)
+	}
+	b.Equal(b.dials("e1"), 0)
+	b.Equal(b.core.links[0].state, linkStates.Waiting) // no earlier attempt goes on
+	b.step(&TaskExited{Grant: id, Outcome: structs.Stopped})
+	b.pass(100 * time.Millisecond)
+	b.Equal(b.dials("e1"), 1)
+}
+
+// dials counts the attempts to connect to an entry.
+func (b *queueBench) dials(address string) (n int) {
+	for _, e := range b.effects {
+		if dial, ok := e.(*Dial); ok && dial.Address == address {
+			n++
+		}
+	}
+	return n
+}
+
 func (b *queueBench) step(m Message) {
 	b.core.Step(b.now, m)
 	b.core.Flush(b.now)
--- a/spec/gen/link.pml
+++ b/spec/gen/link.pml
@@ -38,9 +38,11 @@
 inline link_on_grace_over(self) {
   if
   :: link_state[self] == link_dialing ->
+    link_do_close(self);
     link_do_abandon_runs(self);
     link_do_renew_identity(self);
-    link_state[self] = link_dialing
+    link_do_schedule_retry(self);
+    link_state[self] = link_waiting
   :: link_state[self] == link_greeting ->
     link_do_close(self);
     link_do_abandon_runs(self);
