Grants without a credit go where there is room

On the grown sites a worker's slots are spread over 12 to 14 entries, so that no entry has credits for a task and every task waits at an agent. Agents were chosen by speed and by the entry's own waiting grants alone: each entry sent its tasks to the same fast workers. Besides, heartbeats said that no slot is idle, which undid what the message before had said. Heartbeats now repeat the last figure, agents tell of idle slots when their number has changed (at most every heartbeat), and a grant without a credit goes to the worker with most room among the fastest that have enough. Ruled out: more credits for fewer entries (fragments again as sites grow).

Tests: TestGrantWithoutACreditGoesWhereThereIsRoom, TestEntriesAreToldOfIdleSlots, TestHeartbeatsRepeatWhatWasSaidLast.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -160,6 +160,7 @@
 	c.startQueued()
 	c.allocate()
 	for _, l := range c.links {
+		c.tellIdle(l)
 		c.flushLink(l)
 	}
 	if len(c.runs) == 0 && !c.linked() {
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -43,6 +44,10 @@
 	demand  structs.Demand
 
 	out *structs.FromAgent
+	// toldIdle and toldAt are the idle slots that the entry was told of last, and
+	// when.
+	toldIdle uint32
+	toldAt   time.Time
 }
 
 func (l *link) message() *structs.FromAgent {
@@ -298,12 +303,34 @@
 	return nil
 }
 
+const (
+	// idlePeriod is the least time between two messages that only tell of idle
+	// slots: that of heartbeats, which they replace.
+	idlePeriod = 150 * time.Millisecond
+	// idleChange is the part of the slots by which their number has to differ.
+	idleChange = 0.05
+)
+
+// tellIdle tells an entry of idle slots when their number has changed: it places
+// grants without a credit by them. Slots that are no shares always have credits.
+func (c *Core) tellIdle(l *link) {
+	if !c.opts.Divided || l.out != nil || l.state != linkStates.Up || c.now.Sub(l.toldAt) < idlePeriod {
+		return
+	}
+	difference := int(c.idleElsewhere(l)) - int(l.toldIdle)
+	if math.Abs(float64(difference)) > idleChange*float64(len(c.slots)) {
+		l.message()
+	}
+}
+
 // flushLink emits the collected message.
 func (c *Core) flushLink(l *link) {
 	if l.out == nil || (l.state != linkStates.Up && l.state != linkStates.Greeting) {
 		return
 	}
 	l.out.Idle = c.idleElsewhere(l)
+	l.toldIdle = l.out.Idle
+	l.toldAt = c.now
 	c.emit(&Send{Link: l.id, Message: l.out})
 	l.out = nil
 }
--- a/internal/agent/queue_test.go
+++ b/internal/agent/queue_test.go
@@ -151,6 +151,28 @@
 	}
 }
 
+func TestEntriesAreToldOfIdleSlots(t *testing.T) {
+	b := newQueueBench(t)
+	told := func(entry int) (idle []uint32) {
+		for _, e := range b.effects {
+			if send, ok := e.(*Send); ok && send.Link == b.links[entry] {
+				idle = append(idle, send.Message.Idle)
+			}
+		}
+		b.effects = nil
+		return idle
+	}
+	b.pass(idlePeriod)
+	told(1)
+	b.pass(idlePeriod)
+	b.Equal(len(told(1)), 0) // nothing has changed
+	b.queue(0, 1, 8, time.Second)
+	b.pass(idlePeriod)
+	left := b.core.idleElsewhere(b.core.links[1])
+	b.True(left < 10) // of ten that the other entry held
+	b.Equal(told(1), []uint32{left})
+}
+
 func TestStartOfAQueuedGrantIsReported(t *testing.T) {
 	b := newQueueBench(t)
 	b.pass(2 * restTime)
--- a/internal/agentd/connection.go
+++ b/internal/agentd/connection.go
@@ -31,6 +31,9 @@
 	cancelDial context.CancelFunc
 	lastHeard  time.Time
 	lastSent   time.Time
+	// idle and revision are what the entry was told last; heartbeats repeat them.
+	idle     uint32
+	revision uint64
 	// frames is the encoded message that the event send is about.
 	frames []byte
 	// queued are the bytes after those under way.
@@ -104,6 +107,8 @@
 	}
 	c.frames = frames
 	c.lastSent = now
+	c.idle = m.Idle
+	c.revision = max(c.revision, m.Revision)
 	c.fire(connectionEvents.Send)
 	c.frames = nil
 }
@@ -128,7 +133,7 @@
 		return
 	}
 	if now.Sub(c.lastSent) > c.owner.timing.Heartbeat {
-		c.send(now, &structs.FromAgent{Heartbeat: true})
+		c.send(now, &structs.FromAgent{Heartbeat: true, Idle: c.idle, Revision: c.revision})
 	}
 	c.askProgress()
 }
--- a/internal/agentd/fakes_test.go
+++ b/internal/agentd/fakes_test.go
@@ -127,23 +127,29 @@
 func (e *entry) receive() *structs.FromAgent {
 	e.is.Helper()
 	for {
-		header := make([]byte, wire.HeaderBytes)
-		if _, err := io.ReadFull(e.conn, header); err != nil {
-			return nil
-		}
-		size, err := wire.FrameLength(header)
-		e.is.NoErr(err)
-		body := make([]byte, size)
-		_, err = io.ReadFull(e.conn, body)
-		e.is.NoErr(err)
-		m, err := wire.DecodeFromAgent(body)
-		e.is.NoErr(err)
-		if !m.Heartbeat {
+		if m := e.receiveAny(); m == nil || !m.Heartbeat {
 			return m
 		}
 	}
 }
 
+// receiveAny returns the next message, or nil at the end.
+func (e *entry) receiveAny() *structs.FromAgent {
+	e.is.Helper()
+	header := make([]byte, wire.HeaderBytes)
+	if _, err := io.ReadFull(e.conn, header); err != nil {
+		return nil
+	}
+	size, err := wire.FrameLength(header)
+	e.is.NoErr(err)
+	body := make([]byte, size)
+	_, err = io.ReadFull(e.conn, body)
+	e.is.NoErr(err)
+	m, err := wire.DecodeFromAgent(body)
+	e.is.NoErr(err)
+	return m
+}
+
 func startEndpoint(t *testing.T) *standin.Endpoint {
 	t.Helper()
 	e, err := standin.StartEndpoint(standin.EndpointOptions{Listen: "127.0.0.1:0"})
--- a/internal/agentd/links_test.go
+++ b/internal/agentd/links_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -12,9 +13,14 @@
 )
 
 func startLinks(t *testing.T) (*links, <-chan coreInput) {
+	t.Helper()
+	return startTimedLinks(t, Timing{})
+}
+
+func startTimedLinks(t *testing.T, timing Timing) (*links, <-chan coreInput) {
 	t.Helper()
 	core, seen := collect[coreInput](t)
-	l, err := newLinks(newLinksInbox(), core, Timing{}, logging.Discard(), newCounters())
+	l, err := newLinks(newLinksInbox(), core, timing, logging.Discard(), newCounters())
 	is.New(t).NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() { cancel(); <-l.inbox.Done() })
@@ -52,6 +58,21 @@
 	}
 }
 
+func TestHeartbeatsRepeatWhatWasSaidLast(t *testing.T) {
+	is := is.New(t)
+	l, seen := startTimedLinks(t, Timing{Heartbeat: 50 * time.Millisecond})
+	listener := listen(t)
+	l.inbox.Send(&dialLink{link: 1, address: listener.Addr().String()})
+	e := accept(t, listener)
+	is.Equal((<-seen).message, &agent.LinkOpened{Link: 1})
+	l.inbox.Send(&sendMessage{link: 1, message: &structs.FromAgent{Revision: 7, Idle: 5}})
+	is.Equal(e.receive().Idle, uint32(5))
+	heartbeat := e.receiveAny()
+	is.True(heartbeat.Heartbeat)
+	is.Equal(heartbeat.Idle, uint32(5)) // else the entry would take all slots for busy
+	is.Equal(heartbeat.Revision, uint64(7))
+}
+
 func TestEveryDialHasOneOutcome(t *testing.T) {
 	is := is.New(t)
 	l, seen := startLinks(t)
--- a/internal/dispatch/attached_test.go
+++ b/internal/dispatch/attached_test.go
@@ -292,6 +292,23 @@
 	b.Equal(len(b.grants()), 1)
 }
 
+func TestGrantWithoutACreditGoesWhereThereIsRoom(t *testing.T) {
+	b := newTimedBench(t)
+	for link := LinkID(1); link <= 3; link++ {
+		b.dividedWorker(link, structs.Incarnation(link), 40)
+		b.step(&AgentMessage{Link: link, Message: &structs.FromAgent{Revoked: structs.Credits{Any: 38}}})
+	}
+	b.step(&AgentMessage{Link: 2, Message: &structs.FromAgent{Idle: 20}})
+	b.step(&AgentMessage{Link: 3, Message: &structs.FromAgent{Idle: 30}})
+	b.runJob("a", 2, 1000)
+	granted := b.grants()
+	b.Equal(len(granted), 2)
+	for i, link := range []LinkID{3, 2} { // the one that is taken counts no more
+		b.Equal(granted[i].Queued, true)
+		b.True(b.core.links[link].granted[granted[i].ID] != nil)
+	}
+}
+
 func TestJobThatHasBegunIsFinishedOrGivenUpAtOnce(t *testing.T) {
 	b := newTimedBench(t)
 	b.core.tuning.QueueDepth = 0
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -164,21 +164,35 @@
 }
 
 // placeQueued returns the worker at which a task without a credit waits, or nil:
-// the one with the fewest of this entry, and the fastest of these.
+// the one with most room among the fastest that have enough, where it starts at
+// once, or else the one with the fewest of this entry, and the fastest of these.
 func (c *Core) placeQueued(p *pool, t *task) *session {
-	var best *session
+	var roomy, shortest *session
+	bound := math.Inf(1)
 	late := t.job.timed() && p.late(t.job, c.now)
 	for _, s := range p.sessions {
 		if s.queued >= c.tuning.QueueDepth || !c.mayQueue(s, t) || !t.job.inTime(s, late, c.now) {
 			continue
 		}
-		if best == nil || s.queued < best.queued {
-			best = s
+		if s.room() >= s.share(t.needs) && s.logSlowness < bound && (roomy == nil || s.room() > roomy.room()) {
+			bound = min(bound, s.logSlowness+muchFaster)
+			roomy = s
+		}
+		if shortest == nil || s.queued < shortest.queued {
+			shortest = s
 		}
 	}
-	return best
+	if roomy != nil {
+		roomy.idle -= min(roomy.idle, uint32(roomy.share(t.needs)))
+		return roomy
+	}
+	return shortest
 }
 
+// room returns the slots that a grant without a credit may take at the worker:
+// its agent takes back what entries hold and don't use.
+func (s *session) room() int { return max(0, s.credits.any) + int(s.idle) }
+
 // mayQueue reports whether a grant without a credit may be sent to the agent.
 func (c *Core) mayQueue(s *session, t *task) bool {
 	return s.divided && s.takes(t) && s.health == healthStates.Healthy && s != t.avoided && !c.now.Before(s.queueAfter)
