An agent that reaches no entry reads the list of entries from the store

An agent that starts while all its seeds are gone, or cut off, found no entry until a seed came back (an open point of docs/not-proved.md). While no entry is reached, an agent now reads the registrations once a second. Ruled out: following the table all the time (a waiting call for each agent is priced, and adds nothing while a link is up).

--- a/cmd/cactuspost-node/agent.go
+++ b/cmd/cactuspost-node/agent.go
@@ -8,8 +8,10 @@
 
 	"cactuspost.example/internal/agentd"
 	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/follow"
 	"cactuspost.example/internal/leased"
 	"cactuspost.example/internal/settings"
+	"cactuspost.example/internal/structs"
 	"cactuspost.example/platform"
 )
 
@@ -22,8 +24,10 @@
 
 // runAgent serves the worker on the same machine until a planned stop is done.
 func runAgent(ctx context.Context, n *node) error {
-	memory := agentd.NewMemory(platform.NewStore(n.platform.StoreAddress), n.platform.Node, n.log)
-	keeper := agentd.NewKeeper(func(a agentd.Announcement) agentd.Config { return agentConfig(n, a) }, memory.Keep, n.log)
+	store := platform.NewStore(n.platform.StoreAddress)
+	find := func(ctx context.Context) ([]structs.Peer, error) { return follow.ReadMembers(ctx, store, n.log) }
+	memory := agentd.NewMemory(store, n.platform.Node, n.log)
+	keeper := agentd.NewKeeper(func(a agentd.Announcement) agentd.Config { return agentConfig(n, a, find) }, memory.Keep, n.log)
 	control, err := platform.StartControl(n.platform, keeper.Announce, n.log)
 	if err != nil {
 		n.log.Event(event.ListenFailed, zap.String("error", err.Error()))
@@ -46,7 +50,7 @@
 	return nil
 }
 
-func agentConfig(n *node, a agentd.Announcement) agentd.Config {
+func agentConfig(n *node, a agentd.Announcement, find func(context.Context) ([]structs.Peer, error)) agentd.Config {
 	s, p := n.settings, n.platform
 	return agentd.Config{
 		Agent: settings.Agent{
@@ -58,6 +62,7 @@
 		Born:   a.Born,
 		Lease:  leased.Tuning{Lease: s.Lease, Wait: s.LookWait},
 		Timing: agentd.Timing{Heartbeat: s.Heartbeat, Silence: s.EntrySilence, EntryGrace: s.EntryGrace, Pause: s.Pause, Dial: s.Dial, LastRetry: s.Redial},
+		Find:   find,
 		Log:    n.log,
 	}
 }
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -87,6 +87,9 @@
 	// queue holds the runs that wait for slots.
 	queue []*run
 
+	// aloneSince is when the agent last had a link, or asked for entries.
+	aloneSince time.Time
+
 	started uint64
 	refused uint64
 	effects []Effect
@@ -132,6 +135,8 @@
 		c.endpointChanged(m.Up)
 	case *Suspended:
 		c.giveUpLinks()
+	case *EntriesFound:
+		c.setPeers(m.Peers)
 	case *Stop:
 		c.drain.Stop()
 	case *Inspect:
@@ -146,6 +151,7 @@
 		c.tickLink(l)
 	}
 	c.dropForgotten()
+	c.findEntries()
 	for _, r := range c.runs {
 		if r.limit > 0 && now.Sub(r.startedAt) >= r.limit {
 			c.fireRun(r, runEvents.Limit)
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -287,6 +287,26 @@
 	}
 }
 
+// findAfter is how long the agent tries the entries that it knows before it asks
+// for others: several attempts at each.
+const findAfter = time.Second
+
+// findEntries asks for the list of entries while none is reached.
+func (c *Core) findEntries() {
+	if c.aloneSince.IsZero() || c.leaving() || !c.takenOver || c.anyUp() {
+		c.aloneSince = c.now
+		return
+	}
+	if c.now.Sub(c.aloneSince) >= findAfter {
+		c.aloneSince = c.now
+		c.emit(&FindEntries{})
+	}
+}
+
+func (c *Core) anyUp() bool {
+	return slices.ContainsFunc(c.links, func(l *link) bool { return l.state == linkStates.Up })
+}
+
 // linkTo returns the link to an entry, found by its incarnation, since it may
 // be known under another address, or else by its address.
 func (c *Core) linkTo(p structs.Peer) *link {
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -47,6 +47,9 @@
 // not, no credits are offered. The initial assumption is that it does not.
 type EndpointChanged struct{ Up bool }
 
+// EntriesFound brings the list of entries that FindEntries asked for.
+type EntriesFound struct{ Peers []structs.Peer }
+
 // Suspended says that this process's machine stood still, and its steady clock
 // with it: entries may have granted elsewhere what still waits to be read here.
 type Suspended struct{}
@@ -66,6 +69,7 @@
 func (*EndpointChanged) isMessage() {}
 func (*Stop) isMessage()            {}
 func (*Suspended) isMessage()       {}
+func (*EntriesFound) isMessage()    {}
 func (*Inspect) isMessage()         {}
 
 // Effect is an output of Core.
@@ -104,6 +108,10 @@
 	Detail string
 }
 
+// FindEntries asks for the list of entries from elsewhere: none of those that the
+// agent knows is reached. EntriesFound follows if there is a list.
+type FindEntries struct{}
+
 // Drained says that the planned stop is done.
 type Drained struct{}
 
@@ -113,14 +121,15 @@
 	View  View
 }
 
-func (*Dial) isEffect()      {}
-func (*CloseLink) isEffect() {}
-func (*Send) isEffect()      {}
-func (*StartTask) isEffect() {}
-func (*StopTask) isEffect()  {}
-func (*Happened) isEffect()  {}
-func (*Drained) isEffect()   {}
-func (*Inspected) isEffect() {}
+func (*Dial) isEffect()        {}
+func (*CloseLink) isEffect()   {}
+func (*Send) isEffect()        {}
+func (*StartTask) isEffect()   {}
+func (*StopTask) isEffect()    {}
+func (*Happened) isEffect()    {}
+func (*FindEntries) isEffect() {}
+func (*Drained) isEffect()     {}
+func (*Inspected) isEffect()   {}
 
 // View is a copy of the core's state for operators.
 type View struct {
--- a/internal/agent/queue_test.go
+++ b/internal/agent/queue_test.go
@@ -61,6 +61,28 @@
 	is.Equal(dials(), 1)
 }
 
+func TestEntriesAreSoughtWhileNoneIsReached(t *testing.T) {
+	b := newQueueBench(t)
+	sought := func() (n int) {
+		for _, e := range b.effects {
+			if _, ok := e.(*FindEntries); ok {
+				n++
+			}
+		}
+		return n
+	}
+	for _, link := range b.links {
+		b.step(&LinkClosed{Link: link})
+	}
+	for range 11 {
+		b.pass(findAfter / 10)
+	}
+	b.Equal(sought(), 1)
+	b.step(&EntriesFound{Peers: []structs.Peer{{Incarnation: 3, LinkAddress: "e3"}}})
+	b.pass(10 * time.Millisecond)
+	b.Equal(b.dials("e3"), 1)
+}
+
 func TestEntryThatWasGivenUpIsDialledAfterItsRunsHaveEnded(t *testing.T) {
 	b := newQueueBench(t)
 	b.pass(2 * restTime)
--- a/internal/agentd/core.go
+++ b/internal/agentd/core.go
@@ -4,12 +4,15 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"cactuspost.example/internal/actor"
 	"cactuspost.example/internal/agent"
 	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/failure"
 	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/pause"
+	"cactuspost.example/internal/structs"
 )
 
 const (
@@ -81,6 +84,9 @@
 	// unstopped lists stop requests that found no room; they are sent again.
 	unstopped []stopTask
 	suspend   *pause.Detector
+	// find returns the entries that are registered; it may be nil. ctx bounds it.
+	find func(context.Context) ([]structs.Peer, error)
+	ctx  context.Context
 	// returned are inputs that effects led to; they are handled at the next tick.
 	returned []agent.Message
 }
@@ -96,6 +102,7 @@
 
 // run dials the entries at once, and then serves until the context ends.
 func (c *core) run(ctx context.Context) {
+	c.ctx = ctx
 	now := time.Now()
 	c.Tick(now)
 	c.Flush(now)
@@ -161,6 +168,8 @@
 		c.start(e)
 	case *agent.StopTask:
 		c.stop(stopTask{grant: e.Grant})
+	case *agent.FindEntries:
+		c.findEntries()
 	case *agent.Happened:
 		logDecided(c.log, e)
 	case *agent.Inspected:
@@ -206,6 +215,27 @@
 	}
 }
 
+// findTimeout bounds the search for entries.
+const findTimeout = 2 * time.Second
+
+// findEntries reads the list of entries on a goroutine of its own.
+func (c *core) findEntries() {
+	if c.find == nil {
+		return
+	}
+	c.log.Event(event.EntriesSought)
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, findTimeout)
+		defer cancel()
+		peers, err := c.find(ctx)
+		if err != nil {
+			c.log.Event(event.EntriesNotFound, zap.String("error", err.Error()))
+			return
+		}
+		c.inbox.Send(coreInput{message: &agent.EntriesFound{Peers: peers}})
+	}()
+}
+
 func (c *core) answer(e *agent.Inspected) {
 	reply := c.replies[e.Reply]
 	delete(c.replies, e.Reply)
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -43,6 +43,8 @@
 	Born int64
 	// Timing bounds the silence of entries.
 	Timing Timing
+	// Find returns the entries that are registered now; it may be nil.
+	Find func(context.Context) ([]structs.Peer, error)
 	// Log may be nil.
 	Log *logging.Logger
 }
@@ -125,6 +127,7 @@
 		return nil, err
 	}
 	core := newCore(coreInbox, d, linksInbox, runnerInbox, log)
+	core.find = c.Find
 
 	ctx, cancel := context.WithCancel(ctx)
 	daemon := &Daemon{
--- a/internal/event/agent.go
+++ b/internal/event/agent.go
@@ -27,6 +27,8 @@
 	WorkerNotRecalled ID = 2047
 	WorkerNotKept     ID = 2048
 	RunStarted        ID = 2049
+	EntriesSought     ID = 2050
+	EntriesNotFound   ID = 2051
 )
 
 var agentEvents = []Description{
@@ -55,4 +57,6 @@
 	{WorkerNotRecalled, Warning, "worker not recalled", "What a predecessor knew of the worker could not be read from the store; the agent waits for a heartbeat.", "Check the platform's store if it repeats."},
 	{WorkerNotKept, Warning, "worker not kept", "What the worker announced could not be written to the store; it is tried again.", "Check the platform's store if it repeats."},
 	{RunStarted, Info, "run started", "A grant that waited at the agent for room was started; the field says how long it has waited.", "None."},
+	{EntriesSought, Warning, "entries sought", "No entry that the agent knows is reached; the list of entries is read from the store.", "Check the entries and the network if it repeats."},
+	{EntriesNotFound, Warning, "entries not found", "The list of entries could not be read from the store; it is tried again while no entry is reached.", "Check the platform's store if it repeats."},
 }
--- a/internal/follow/members.go
+++ b/internal/follow/members.go
@@ -92,6 +92,32 @@
 	}
 }
 
+// ReadMembers returns the entries that are registered now. It fails with the
+// error of the store.
+func ReadMembers(ctx context.Context, feed Feed, log *logging.Logger) ([]structs.Peer, error) {
+	rows, _, err := feed.Load(ctx, MembersTable)
+	if err != nil {
+		return nil, err
+	}
+	var peers []structs.Peer
+	for _, row := range rows {
+		if p, ok := decodeMember(row, log); ok {
+			peers = append(peers, p)
+		}
+	}
+	return peers, nil
+}
+
+// decodeMember reads a registration, or reports that it is none.
+func decodeMember(row Row, log *logging.Logger) (structs.Peer, bool) {
+	var p structs.Peer
+	if err := json.Unmarshal(row.Value, &p); err != nil || p.LinkAddress == "" {
+		log.Event(event.BadInstanceRow, zap.String("table", MembersTable), zap.String("key", row.Key))
+		return structs.Peer{}, false
+	}
+	return p, true
+}
+
 func (m *Members) take(rows []Row, all bool) {
 	if all {
 		clear(m.known)
@@ -101,12 +127,9 @@
 			delete(m.known, row.Key)
 			continue
 		}
-		var p structs.Peer
-		if err := json.Unmarshal(row.Value, &p); err != nil || p.LinkAddress == "" {
-			m.log.Event(event.BadInstanceRow, zap.String("table", MembersTable), zap.String("key", row.Key))
-			continue
+		if p, ok := decodeMember(row, m.log); ok {
+			m.known[row.Key] = p
 		}
-		m.known[row.Key] = p
 	}
 	m.known[m.self.Name] = m.self
 	peers := slices.Collect(maps.Values(m.known))
--- a/test/cluster/site.go
+++ b/test/cluster/site.go
@@ -63,6 +63,9 @@
 	Lives atomic.Int64
 
 	program program
+	// platform is the platform's settings file and what it is written from.
+	platform string
+	machine  *standin.Machine
 }
 
 // Front is a machine with an entry.
@@ -168,10 +171,11 @@
 	if m.FirstPort, err = strconv.Atoi(port); err != nil {
 		return errors.WithStack(err)
 	}
-	platform := filepath.Join(o.Folder, n.Name+".toml")
+	n.machine = m
+	n.platform = filepath.Join(o.Folder, n.Name+".toml")
 	own := filepath.Join(o.Folder, n.Name+".jsonc")
-	if err := os.WriteFile(platform, []byte(m.Settings()), 0o600); err != nil {
-		return errors.WithStack(err)
+	if err := n.Reseed(m.Seeds); err != nil {
+		return err
 	}
 	text, err := n.settings(o.NodeSettings, advertised)
 	if err != nil {
@@ -182,11 +186,17 @@
 	}
 	n.program = program{
 		binary: o.Node, args: []string{role, "--settings", own},
-		env: []string{standin.SettingsVariable + "=" + platform}, log: filepath.Join(o.Folder, n.Name+".log"),
+		env: []string{standin.SettingsVariable + "=" + n.platform}, log: filepath.Join(o.Folder, n.Name+".log"),
 	}
 	return n.Start()
 }
 
+// Reseed writes the platform's settings with other seeds.
+func (n *Node) Reseed(seeds []string) error {
+	n.machine.Seeds = seeds
+	return errors.WithStack(os.WriteFile(n.platform, []byte(n.machine.Settings()), 0o600))
+}
+
 // settings returns the deployed settings with what differs on one machine for all
 // processes: the port of the metrics and the forwarder before the links.
 func (n *Node) settings(file, advertised string) (string, error) {
