--- a/test/cluster/site.go
+++ b/test/cluster/site.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"cactuspost.example/platform"
 	"cactuspost.example/platform/standin"
 )
 
@@ -63,9 +64,9 @@
 	Lives atomic.Int64
 
 	program program
-	// platform is the platform's settings file and what it is written from.
-	platform string
-	machine  *standin.Machine
+	// file is the platform's settings file, machine what it is written from.
+	file    string
+	machine *standin.Machine
 }
 
 // Front is a machine with an entry.
@@ -172,7 +173,7 @@
 		return errors.WithStack(err)
 	}
 	n.machine = m
-	n.platform = filepath.Join(o.Folder, n.Name+".toml")
+	n.file = filepath.Join(o.Folder, n.Name+".toml")
 	own := filepath.Join(o.Folder, n.Name+".jsonc")
 	if err := n.Reseed(m.Seeds); err != nil {
 		return err
@@ -186,7 +187,7 @@
 	}
 	n.program = program{
 		binary: o.Node, args: []string{role, "--settings", own},
-		env: []string{standin.SettingsVariable + "=" + n.platform}, log: filepath.Join(o.Folder, n.Name+".log"),
+		env: []string{platform.SettingsVariable + "=" + n.file}, log: filepath.Join(o.Folder, n.Name+".log"),
 	}
 	return n.Start()
 }
@@ -194,7 +195,7 @@
 // Reseed writes the platform's settings with other seeds.
 func (n *Node) Reseed(seeds []string) error {
 	n.machine.Seeds = seeds
-	return errors.WithStack(os.WriteFile(n.platform, []byte(n.machine.Settings()), 0o600))
+	return errors.WithStack(os.WriteFile(n.file, []byte(n.machine.Settings()), 0o600))
 }
 
 // settings returns the deployed settings with what differs on one machine for all
--- a/test/faults/main_test.go
+++ b/test/faults/main_test.go
@@ -17,24 +17,12 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	os.Exit(run(m))
-}
-
-func run(m *testing.M) int {
-	folder, err := os.MkdirTemp("", "cactuspost-faults")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	binaries, err = cluster.Build(folder)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
 	go sum()
-	status := m.Run()
+	status := cluster.RunTests(m, func(folder string) (err error) {
+		binaries, err = cluster.Build(folder)
+		return err
+	})
 	close(reports)
 	fmt.Println(<-summed)
-	return status
+	os.Exit(status)
 }
--- a/test/operations/explain_test.go
+++ b/test/operations/explain_test.go
@@ -37,21 +37,10 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	os.Exit(run(m))
-}
-
-func run(m *testing.M) int {
-	folder, err := os.MkdirTemp("", "cactuspost-operations")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	if node, err = cluster.BuildNode(folder); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
+	os.Exit(cluster.RunTests(m, func(folder string) (err error) {
+		node, err = cluster.BuildNode(folder)
+		return err
+	}))
 }
 
 // place is a site of one entry and one worker.
@@ -75,9 +64,9 @@
 	t.Cleanup(site.Close)
 	is.NoErr(err)
 	p.site = site
-	site.Store.Put(standin.ConfigTable, standin.ConfigKey, standin.Configuration(1, []standin.Route{
+	site.Store.Configure(1, []standin.Route{
 		{Name: "jobs", Host: host, Prefix: prefix, Service: cluster.Service, TimeoutMS: 4000, ObjectiveMS: 400, Stretch: 2, MaxAttempts: 2},
-	}))
+	})
 	p.client = standin.NewClient(site.Fronts[0].Clients.Address())
 	// The first job that is served shows that the worker is connected.
 	until := time.Now().Add(readyBound)
--- a/test/soak/main_test.go
+++ b/test/soak/main_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"os"
 	"testing"
 	"time"
@@ -26,19 +25,8 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	os.Exit(run(m))
-}
-
-func run(m *testing.M) int {
-	folder, err := os.MkdirTemp("", "cactuspost-soak")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	if node, err = cluster.BuildNode(folder); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
+	os.Exit(cluster.RunTests(m, func(folder string) (err error) {
+		node, err = cluster.BuildNode(folder)
+		return err
+	}))
 }
--- a/test/soak/operator_test.go
+++ b/test/soak/operator_test.go
@@ -51,9 +51,9 @@
 	route := func(name, prefix string) standin.Route {
 		return standin.Route{Name: name, Host: host, Prefix: prefix, Service: cluster.Service, TimeoutMS: 1500, ObjectiveMS: 300, Stretch: 4, MaxAttempts: 3}
 	}
-	o.soak.site.Store.Put(standin.ConfigTable, standin.ConfigKey, standin.Configuration(version, []standin.Route{
+	o.soak.site.Store.Configure(version, []standin.Route{
 		route("jobs", jobsPrefix), route(fmt.Sprintf("v%d", version), prefixOf(version)),
-	}))
+	})
 	o.publishedAt = append(o.publishedAt, time.Now())
 }
 
