--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -89,14 +89,15 @@
 func runSeed(t *testing.T, seed uint64, length time.Duration) {
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	t.Cleanup(cancel)
 	s := &soak{t: t, ledger: startLedger(ctx), stops: make(chan stopped, stopsSize)}
 	folder := t.TempDir()
 	site, err := cluster.StartSite(ctx, cluster.SiteOptions{
 		Node: node, Folder: folder, NodeSettings: "../../deploy/node.jsonc", Entries: *entries, Agents: *agents, CPU: workerCPU, Seed: seed,
 		Observe: func(r standin.RunEvent) { s.ledger.Send(ledgerInput{run: &r}) },
 	})
-	defer site.Close()
+	// It has what was started also when the rest could not be.
+	t.Cleanup(site.Close)
 	is.NoErr(err)
 	s.site = site
 	operator := newOperator(s)
