--- a/internal/dispatch/attached.go
+++ b/internal/dispatch/attached.go
@@ -22,18 +22,20 @@
 func (c *Core) runJob(m *RunJob) {
 	if j := c.named[m.Submission.Name]; j != nil {
 		c.stats.JobsResubmits++
+		c.emit(&Happened{Event: event.JobJoined, Job: j.id, Request: j.name, RequestID: m.Submission.RequestID})
 		c.reply(j, m.Reply, true)
 		return
 	}
 	if f := c.checkRun(m); f != nil {
 		c.stats.JobsRefused++
-		c.emit(&Happened{Event: event.JobRefused, Request: m.Submission.Name, Detail: f.Error()})
+		c.emit(&Happened{Event: event.JobRefused, Request: m.Submission.Name, RequestID: m.Submission.RequestID, Detail: f.Error()})
 		c.refuse(m.Reply, f)
 		return
 	}
 	j := c.newJob(m.Submission.Team, m.Submission.Service, c.now.Add(m.Patience))
 	j.attached = true
 	j.name = m.Submission.Name
+	j.requestID = m.Submission.RequestID
 	m.Submission.ID = j.id
 	c.setObjective(j, &m.Submission)
 	if j.name != "" {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -38,6 +38,8 @@
 	// such a job ends when the caller leaves.
 	name     string
 	attached bool
+	// requestID is the caller's id of the request that brought the job.
+	requestID string
 	// chain is the estimated run time of the job's longest chain of tasks on a
 	// worker of typical speed. The chain has to end by aimBy for the response
 	// objective, zero means that there is none, and by endBy to be of any use.
--- a/internal/dispatch/journal.go
+++ b/internal/dispatch/journal.go
@@ -15,7 +15,7 @@
 	if !j.attached {
 		return
 	}
-	c.emit(&Happened{Event: id, Job: j.id, Request: j.name, Detail: detail, Facts: facts})
+	c.emit(&Happened{Event: id, Job: j.id, Request: j.name, RequestID: j.requestID, Detail: detail, Facts: facts})
 }
 
 func (c *Core) journalTask(id event.ID, t *task, s *session, facts ...Fact) {
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -181,11 +181,12 @@
 	Event    event.ID
 	Endpoint string
 	Job      structs.JobID
-	// Request is the caller's name of the job, Task the endpoint's name of the
-	// task.
-	Request string
-	Task    string
-	Detail  string
+	// Request is the caller's name of the job, RequestID that of the request that
+	// brought it, Task the endpoint's name of the task.
+	Request   string
+	RequestID string
+	Task      string
+	Detail    string
 	// Facts are the figures that decided.
 	Facts []Fact
 }
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -267,6 +267,9 @@
 	if e.Request != "" {
 		fields = append(fields, zap.String("request", e.Request))
 	}
+	if e.RequestID != "" {
+		fields = append(fields, zap.String("request_id", e.RequestID))
+	}
 	if e.Task != "" {
 		fields = append(fields, zap.String("task", e.Task))
 	}
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -28,6 +28,8 @@
 	TaskGranted         ID = 1044
 	TaskReturned        ID = 1045
 	TaskOverran         ID = 1046
+	JobJoined           ID = 1047
+	RequestRejected     ID = 1048
 )
 
 var entryEvents = []Description{
@@ -57,4 +59,6 @@
 	{TaskGranted, Info, "task granted", "A task was handed to the agent of a worker; the fields say what was known of the worker.", "None."},
 	{TaskReturned, Warning, "task returned", "A granted task waits again: its run was refused, lost, stopped or failed.", "Look at the worker if it repeats."},
 	{TaskOverran, Warning, "task overran", "A run takes far longer than foretold; it counts against its worker, which gets no work if there are several.", "Look at the worker if it repeats."},
+	{JobJoined, Info, "job joined", "A request brought a job that is open already and waits for its end.", "None."},
+	{RequestRejected, Warning, "request rejected", "A request was turned away before it became a job: no configuration, no such queue, or not a valid job; nothing ran.", "Look at the caller, if it repeats."},
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -19,16 +19,18 @@
 
 // Line is one line of a log.
 type Line struct {
-	Time     time.Time
-	Event    event.ID
-	Name     string
-	Node     string
-	Request  string
-	Job      string
-	Task     string
-	Grant    string
-	Endpoint string
-	Detail   string
+	Time    time.Time
+	Event   event.ID
+	Name    string
+	Node    string
+	Request string
+	// RequestID is the caller's id of the request that brought the job.
+	RequestID string
+	Job       string
+	Task      string
+	Grant     string
+	Endpoint  string
+	Detail    string
 	// Fields are all fields of the line.
 	Fields map[string]any
 }
@@ -79,14 +81,16 @@
 		return Line{}, false
 	}
 	return Line{
-		Time: at, Event: event.ID(number), Name: word("name"), Node: word("node"), Request: word("request"),
+		Time: at, Event: event.ID(number), Name: word("name"), Node: word("node"), Request: word("request"), RequestID: word("request_id"),
 		Job: word("job"), Task: word("task"), Grant: word("grant"), Endpoint: word("endpoint"), Detail: word("detail"),
 		Fields: fields,
 	}, true
 }
 
-// Tell picks the lines of a request, named by the caller's or the system's id.
+// Tell picks the lines of a request, named by the caller's id of the request or of
+// the job, or by the system's id.
 func Tell(id string, all []Line) *Story {
+	id = jobOfRequest(id, all)
 	s := &Story{ID: id}
 	jobs, endpoints := map[string]bool{}, map[string]bool{}
 	for _, l := range all {
@@ -98,7 +102,7 @@
 	delete(jobs, "")
 	delete(endpoints, "")
 	for _, l := range all {
-		if l.Request == id || l.Job == id || strings.HasPrefix(l.Task, id+".") || jobs[jobOfGrant(l.Grant)] {
+		if l.Request == id || l.Job == id || l.RequestID == id || strings.HasPrefix(l.Task, id+".") || jobs[jobOfGrant(l.Grant)] {
 			s.Lines = append(s.Lines, l)
 		}
 	}
@@ -109,6 +113,17 @@
 	return s
 }
 
+// jobOfRequest returns the caller's id of the job that a request brought, or the id
+// itself if it names no request.
+func jobOfRequest(id string, all []Line) string {
+	for _, l := range all {
+		if l.RequestID == id && l.Request != "" {
+			return l.Request
+		}
+	}
+	return id
+}
+
 // grantPrefix is what the grants of a job's id begin with: owner and number.
 func grantPrefix(job string) string {
 	parts := strings.SplitN(job, "-", 3)
@@ -146,7 +161,7 @@
 		s.Missing = append(s.Missing, "no line names the request: it met no running entry, or the log of that entry is not among these")
 		return
 	}
-	if s.last(event.JobAccepted) == nil && s.last(event.JobRefused) == nil {
+	if s.last(event.JobAccepted) == nil && s.last(event.JobRefused, event.RequestRejected) == nil {
 		s.Missing = append(s.Missing, "the line of its acceptance")
 	}
 	if s.end() == nil {
@@ -171,7 +186,7 @@
 }
 
 func (s *Story) end() *Line {
-	return s.last(event.JobRefused, event.JobFailed, event.JobComplete)
+	return s.last(event.JobRefused, event.RequestRejected, event.JobFailed, event.JobComplete)
 }
 
 // findCause works the reason out from the end backwards.
@@ -183,6 +198,8 @@
 	case end == nil:
 		last := s.Lines[len(s.Lines)-1]
 		s.Cause = fmt.Sprintf("the entry ended with the job open; last seen: %s at %s", last.Name, last.Node)
+	case end.Event == event.RequestRejected:
+		s.Cause = fmt.Sprintf("rejected by %s: %s", end.Node, end.Detail)
 	case end.Event == event.JobRefused:
 		s.Cause = fmt.Sprintf("refused by %s: %s%s", end.Node, end.Detail, figures(end, "workers", "slots_free", "slots_waiting"))
 	case end.Event == event.JobFailed:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -53,6 +53,14 @@
 	is.Equal(byRequest.Lines[0].Name, "job accepted") // in order, whatever the files' order
 }
 
+func TestTheRequestsOwnIDFindsItsJob(t *testing.T) {
+	is := is.New(t)
+	mine := strings.Replace(accepted, `"request":"abc"`, `"request":"abc","request_id":"mine"`, 1)
+	story := tell(t, "mine", other, failed, runLost, granted, mine)
+	is.Equal(len(story.Lines), 4)
+	is.Equal(story.Lines[0].RequestID, "mine")
+}
+
 func TestWhatIsMissingIsSaid(t *testing.T) {
 	is := is.New(t)
 	dropped := `{"severity":"warning","time":"2026-05-16T04:04:21.000Z","name":"lines dropped","node":"front-1","event":4031}`
--- a/internal/structs/job.go
+++ b/internal/structs/job.go
@@ -63,12 +63,14 @@
 // Submission is a job as its caller sends it.
 type Submission struct {
 	ID JobID
-	// Name is the caller's own name of the job; it may be empty.
-	Name    string
-	Team    string
-	Service string
-	Needs   Needs
-	Tasks   []Task
+	// Name is the caller's own name of the job, RequestID that of the request that
+	// brought it, for the log; both may be empty.
+	Name      string
+	RequestID string
+	Team      string
+	Service   string
+	Needs     Needs
+	Tasks     []Task
 	// Steps is empty for a job whose tasks may all start at once.
 	Steps []Step
 }
--- a/test/operations/explain_test.go
+++ b/test/operations/explain_test.go
@@ -84,10 +84,13 @@
 // estimate.
 func (p *place) submit(id string, length, estimate time.Duration, cpu uint32, deadline time.Duration) (standin.Reply, error) {
 	return p.client.Submit(host, prefix, &standin.Job{
-		ID: id, Spec: standin.Spec(length, cpu, false), Tasks: 2, CPU: cpu, MemMB: 64, Estimate: estimate, Deadline: deadline,
+		ID: id, RequestID: requestIDOf(id), Spec: standin.Spec(length, cpu, false), Tasks: 2, CPU: cpu, MemMB: 64, Estimate: estimate, Deadline: deadline,
 	})
 }
 
+// requestIDOf is the id under which a caller complains.
+func requestIDOf(id string) string { return "request-of-" + id }
+
 // explain runs the command on the logs of all processes, but for the lines that
 // are left out, and returns what it prints as the cause.
 func (p *place) explain(id string, without ...event.ID) string {
@@ -135,9 +138,20 @@
 	const cause = "refused by front-1: overloaded (not run): the job would end after its deadline"
 	p.is.True(strings.Contains(p.explain(id), cause))
 	p.is.True(strings.Contains(p.explain(id), "workers 1"))
+	p.is.Equal(p.explain(requestIDOf(id)), p.explain(id))
 	p.is.True(!strings.Contains(p.explain(id, event.JobRefused), cause))
 }
 
+func TestRejectedRequestIsExplained(t *testing.T) {
+	p := newPlace(t)
+	const id = "00000000000000a5"
+	reply, err := p.client.Submit(host, "/no-queue/", &standin.Job{ID: id, RequestID: requestIDOf(id), Spec: "ms=1 cpu=1", Tasks: 1, Deadline: time.Second})
+	p.is.NoErr(err)
+	p.is.Equal(reply.Status, http.StatusNotFound)
+	p.is.True(strings.Contains(p.explain(requestIDOf(id)), "rejected by front-1: unknown_service (not run): no queue in revision 1"))
+	p.is.True(!strings.Contains(p.explain(requestIDOf(id), event.RequestRejected), "no queue"))
+}
+
 func TestRequestLostToAWorkerIsExplained(t *testing.T) {
 	p := newPlace(t)
 	const id = "00000000000000a2"
@@ -149,9 +163,9 @@
 	p.is.NoErr(err)
 	p.is.True(reply.Status == http.StatusBadGateway || reply.Status == http.StatusGatewayTimeout)
 	const cause = "before that: run failed, task 00000000000000a2"
-	t.Log(p.explain(id))
 	p.is.True(strings.Contains(p.explain(id), cause))
 	p.is.True(strings.Contains(p.explain(id), "at side-01 (outcome lost)"))
+	p.is.Equal(p.explain(requestIDOf(id)), p.explain(id))
 	p.is.True(!strings.Contains(p.explain(id, event.RunFailed), cause))
 }
 
