--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -16,8 +16,9 @@
 		Name:      "explain",
 		Usage:     "tell the story of one request from the logs, its cause last",
 		ArgsUsage: "ID LOG [LOG ...]",
-		Description: "ID is the caller's name of the request or the system's id of the job. The logs\n" +
-			"may be of any processes, in any order, rotated or cut off; what is missing is said.\n\n" +
+		Description: "ID is the caller's id of the request or of the job, or the system's id of the job.\n" +
+			"The logs may be of any processes, in any order, rotated or cut off; what is missing\n" +
+			"is said.\n\n" +
 			"Example:\n  cactuspost explain 9f0c1a2b3c4d5e6f entry-1.log entry-2.log agent-*.log",
 		Action: runExplain,
 	}
