Logs tell why an entry refused a queue that another instance already served

A 404 with an older revision looked alike whether the store did not answer, a call for changes was still waiting, a row was rejected or the entry had only not heard what its agents knew; an adoption from an agent left no line.

- 3025: a document is in force, which revision it replaced, and which agent sent it.
- 3001 and 3002: time since the last answer, length of the outage, failed calls.
- cactuspost explain compares the entry's revision with the others' and names the fault.

No change of what is served.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -38,6 +38,7 @@
 	retired map[string]structs.Service
 	peers   []structs.Peer
 	drain   *drain.Drain
+	catchUp *catchUp
 
 	// lastSeq is the sequence number of the last job ID issued.
 	lastSeq uint64
@@ -97,6 +98,7 @@
 		kinds:        map[kindKey]*kind{},
 		ledger:       burn.NewLedger(),
 	}
+	c.catchUp = newCatchUp(c)
 	c.drain = drain.New(c.announceDrain, func() { c.emit(&Drained{}) })
 	return c
 }
@@ -131,7 +133,7 @@
 	case *Suspended:
 		c.delayGranting()
 	case *Configure:
-		c.configure(m.Document)
+		c.configure(m.Document, "")
 	case *SetPeers:
 		c.setPeers(m.Peers)
 	case *Stop:
@@ -155,6 +157,7 @@
 	}
 	c.lastScan = now
 	c.endLateAtAgents()
+	c.catchUp.tick()
 	for _, p := range c.orderedPools {
 		for _, s := range slices.Clone(p.sessions) {
 			c.scanSession(s)
@@ -198,19 +201,22 @@
 }
 
 // configure puts a document in force if it is newer than the current one, and
-// sends it to the agents.
-func (c *Core) configure(doc *structs.Document) {
+// sends it to the agents. The source is the endpoint whose agent sent it, or empty
+// if it comes from the entry's own source.
+func (c *Core) configure(doc *structs.Document, source string) {
 	if doc == nil || (c.doc != nil && doc.Revision <= c.doc.Revision) {
 		return
 	}
 	if c.doc != nil {
 		maps.Copy(c.retired, c.doc.Services)
 	}
+	replaced := c.revision()
 	c.doc = doc
-	c.emit(&ConfigAdopted{Document: doc})
+	c.emit(&ConfigAdopted{Document: doc, Replaced: replaced, Source: source})
 	for _, s := range c.links {
 		s.outgoingMessage().Config = doc
 	}
+	c.catchUp.fire(catchUpEvents.Adopted)
 }
 
 func (c *Core) revision() uint64 {
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -207,7 +207,14 @@
 }
 
 // ConfigAdopted reports that a document is in force from now on.
-type ConfigAdopted struct{ Document *structs.Document }
+type ConfigAdopted struct {
+	Document *structs.Document
+	// Replaced is the revision that was in force before, 0 if there was none.
+	Replaced uint64
+	// Source is the endpoint whose agent sent the document, or empty if it was
+	// passed with Configure.
+	Source string
+}
 
 // Drained reports that the drain is complete.
 type Drained struct{}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -109,7 +109,8 @@
 	}
 	c.countFrame(m.Message)
 	s.revision = max(s.revision, m.Message.Revision)
-	c.configure(m.Message.Config)
+	c.configure(m.Message.Config, s.endpoint)
+	c.catchUp.compare(m.Message.Revision)
 	c.handleResults(s, m.Message.Results)
 	c.handleRefusals(s, m.Message.Refusals)
 	c.handleStarts(s, m.Message.Started)
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -177,11 +177,12 @@
 
 // publishDocument makes the document that is now in force available to the
 // Gateway.
-func (a *coreActor) publishDocument(document *structs.Document) {
+func (a *coreActor) publishDocument(e *dispatch.ConfigAdopted) {
 	a.readiness.configured = true
 	if a.gateway != nil {
-		a.gateway.document.Store(document)
+		a.gateway.document.Store(e.Document)
 	}
+	a.log.Event(event.ConfigurationInForce, zap.Uint64("revision", e.Document.Revision), zap.Uint64("replaced", e.Replaced), zap.String("source", e.Source))
 }
 
 // Tick runs the dispatcher's periodic work.
@@ -229,7 +230,7 @@
 	case *dispatch.CloseLink:
 		a.closeLink(e.Link)
 	case *dispatch.ConfigAdopted:
-		a.publishDocument(e.Document)
+		a.publishDocument(e)
 	case *dispatch.LogEvent:
 		a.logEvent(e)
 	case *dispatch.Drained:
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -60,5 +60,5 @@
 	{TaskRequeued, Warning, "task requeued", "A granted task is back in the queue because its run was refused, lost, stopped or failed.", "Check the worker if this repeats."},
 	{TaskOverdue, Warning, "task overdue", "A task runs far longer than estimated; this counts as a failure of its worker, which gets no work after several failures.", "Check the worker if this repeats."},
 	{JobResubmitted, Info, "job resubmitted", "A request submitted a job that is already open; it waits for the end of that job.", "None."},
-	{RequestRejected, Warning, "request rejected", "A request was rejected before it became a job: there was no configuration, no such queue, or the job was not valid; nothing ran.", "Check the caller if this repeats."},
+	{RequestRejected, Warning, "request rejected", "A request was rejected before it became a job: there was no configuration, no such queue in the revision given, or the job was not valid; nothing ran.", "Check the caller if this repeats; if the queue exists, run cactuspost explain on the logs of all entries."},
 }
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -19,14 +19,16 @@
 	BadConfigurationRow         ID = 3022
 	ConfigurationUnavailable    ID = 3023
 	ConfigurationAvailable      ID = 3024
+	ConfigurationInForce        ID = 3025
+	ConfigurationBehind         ID = 3026
 	NoteAccepted                ID = 3030
 	NoteRefused                 ID = 3031
 	NoteOutcomeUnknown          ID = 3032
 )
 
 var platformEvents = []Description{
-	{TableUnavailable, Warning, "table unavailable", "The list of instances can't be read; the last known list stays in use and dispatch continues.", "Check the platform's table service if this persists."},
-	{TableAvailable, Info, "table available", "The list of instances can be read again.", "None."},
+	{TableUnavailable, Warning, "table unavailable", "A table can't be read; what was read last stays in use and dispatch continues. A field gives the time since the last answer.", "Check the platform's table service if this persists."},
+	{TableAvailable, Info, "table available", "A table can be read again; the fields give the length of the outage and the number of failed calls.", "None."},
 	{InstanceRegistered, Info, "instance registered", "This instance wrote its row to the table.", "None."},
 	{LeaseLapsed, Warning, "lease lapsed", "This instance could not renew its row in time because the table was unavailable or the process was paused. Its jobs continue.", "Check for a paused or overloaded machine if the table was available."},
 	{LeaseRestored, Info, "lease restored", "This instance renewed its row after its lease had lapsed.", "None."},
@@ -42,6 +44,8 @@
 	{BadConfigurationRow, Fault, "bad configuration row", "The configuration's row is not valid; the last known revision stays in force.", "Find out what else writes to the table."},
 	{ConfigurationUnavailable, Warning, "configuration unavailable", "The configuration can't be read from the table; the last known revision stays in force.", "Check the platform's table service if this persists."},
 	{ConfigurationAvailable, Info, "configuration available", "The configuration can be read from the table again.", "None."},
+	{ConfigurationInForce, Info, "configuration in force", "Requests are handled by a higher revision from now on; the fields give the revision that it replaced and the endpoint whose agent sent it, empty if it was read from the store.", "None."},
+	{ConfigurationBehind, Warning, "configuration behind", "An agent has had a higher revision for a while than this entry, which has not read it from the store.", "Look for events 3001 and 3022 of this entry before it."},
 	{NoteAccepted, Info, "release note accepted", "A release note was committed and takes effect at all instances within seconds.", "None."},
 	{NoteRefused, Info, "release note refused", "A release note was invalid or conflicted with a later one; nothing changed.", "None; the answer to the operator gives the reasons."},
 	{NoteOutcomeUnknown, Warning, "release note outcome unknown", "The table's answer to a release note was lost, and the table can't be read to determine the outcome.", "Publish the same note again: it is never applied twice."},
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -47,6 +47,9 @@
 	Missing []string
 	// Cause says in one sentence why the request ended as it did.
 	Cause string
+	// newestElsewhere is the line about the highest revision in force at another
+	// instance, if that is higher than the one by which the request was rejected.
+	newestElsewhere *Line
 }
 
 // Read parses the lines of a log. Text before the first brace of a line is
@@ -115,6 +118,7 @@
 	e.findOverlaps(lines)
 	e.addWorkerEvents(lines, endpoints)
 	e.findMissing(lines)
+	e.addConfiguration(lines)
 	e.findCause()
 	return e
 }
@@ -221,7 +225,7 @@
 		last := e.Lines[len(e.Lines)-1]
 		e.Cause = fmt.Sprintf("the entry ended with the job open; last seen: %s at %s", last.Name, last.Node)
 	case end.Event == event.RequestRejected:
-		e.Cause = fmt.Sprintf("rejected by %s: %s", end.Node, end.Detail)
+		e.Cause = fmt.Sprintf("rejected by %s: %s%s", end.Node, end.Detail, e.configurationCause(end))
 	case end.Event == event.JobRefused:
 		e.Cause = fmt.Sprintf("refused by %s: %s%s", end.Node, end.Detail, formatFields(end, "workers", "slots_free", "slots_waiting"))
 	case end.Event == event.JobFailed:
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -94,8 +94,10 @@
 	version      uint64
 	retryBackoff *backoff.ExponentialBackOff
 	nextCallAt   time.Time
-	// failing is set while calls fail, so that an outage is logged once.
-	failing bool
+	// answeredAt is when the store last answered a call. failedCalls counts the
+	// calls that failed since then; an outage is logged at the first.
+	answeredAt  time.Time
+	failedCalls int
 }
 
 var followChart = chart.MustCompile(charts.Files, "follow", chart.Bindings[*Follower]{
@@ -131,6 +133,7 @@
 // Run watches the table until the context is done.
 func (f *Follower) Run(ctx context.Context) {
 	f.ctx = ctx
+	f.answeredAt = time.Now()
 	f.loadRows()
 	actor.Run(ctx, f.inbox, tickInterval, f)
 }
@@ -205,17 +208,20 @@
 
 func (f *Follower) recordSuccess() {
 	f.retryBackoff.Reset()
-	if f.failing {
-		f.options.Log.Event(event.TableAvailable, zap.String("table", f.options.Table), zap.Uint64("version", f.version))
+	if f.failedCalls > 0 {
+		f.options.Log.Event(event.TableAvailable, zap.String("table", f.options.Table), zap.Uint64("version", f.version),
+			zap.Int64("outage_ms", time.Since(f.answeredAt).Milliseconds()), zap.Int("failed_calls", f.failedCalls))
 	}
-	f.failing = false
+	f.answeredAt = time.Now()
+	f.failedCalls = 0
 }
 
 func (f *Follower) recordFailure() {
-	if !f.failing {
-		f.options.Log.Event(event.TableUnavailable, zap.String("table", f.options.Table), zap.Uint64("version", f.version), zap.String("error", f.result.err.Error()))
+	f.failedCalls++
+	if f.failedCalls == 1 {
+		f.options.Log.Event(event.TableUnavailable, zap.String("table", f.options.Table), zap.Uint64("version", f.version),
+			zap.Int64("answered_ms_ago", time.Since(f.answeredAt).Milliseconds()), zap.String("error", f.result.err.Error()))
 	}
-	f.failing = true
 }
 
 func (f *Follower) scheduleRetry() { f.nextCallAt = time.Now().Add(f.retryBackoff.NextBackOff()) }
