An entry that is behind its agents asks one of them for the configuration

Callers got 404 for queues that had been added seconds before, from an entry that the store turned away while it served the other entries and the operator.

Cause: an entry learned of a change only from the store. Its agents, which other entries inform at once, sent their document only in answer to a welcome, and the revision in their later messages was recorded and not used. So a link that was up carried the news to the agent and not on to the entry.

The agent answers with its document. An older agent ignores the field. Weighed: agents that send the document to each entry that lacks it, which is a document from every agent at once.

--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -276,6 +276,9 @@
 	}
 	c.adoptConfig(m.Message.Config)
 	c.setPeers(m.Message.Peers)
+	if m.Message.ConfigWanted {
+		l.outgoingMessage().Config = c.config
+	}
 	c.handleAcks(m.Message.Acks)
 	for i := range m.Message.Grants {
 		c.handleGrant(l, &m.Message.Grants[i])
--- a/internal/dispatch/outbox.go
+++ b/internal/dispatch/outbox.go
@@ -66,5 +66,5 @@
 
 func onlyAcks(m *structs.FromEntry) bool {
 	return m.Welcome == nil && m.Config == nil && m.Peers == nil && m.Demand == nil &&
-		len(m.Grants) == 0 && len(m.Cancels) == 0 && !m.Leaving && !m.Released && !m.Heartbeat
+		len(m.Grants) == 0 && len(m.Cancels) == 0 && !m.Leaving && !m.Released && !m.Heartbeat && !m.ConfigWanted
 }
--- a/internal/structs/link.go
+++ b/internal/structs/link.go
@@ -38,7 +38,8 @@
 	Leaving bool
 	// Revision is the configuration revision in force at the agent.
 	Revision uint64
-	// Config is set when the entry has a lower revision than the agent.
+	// Config is set when the entry has a lower revision than the agent at the start of
+	// the link, or has asked for it.
 	Config *Document
 	// Heartbeat is set on messages that are sent only to show that the agent is
 	// alive.
@@ -141,6 +142,8 @@
 	Demand *Demand
 	// Config replaces the agent's configuration if its revision is higher.
 	Config *Document
+	// ConfigWanted asks the agent for its configuration.
+	ConfigWanted bool
 	// Peers replaces the agent's list of entries.
 	Peers []Peer
 	// Released tells a leaving agent that the entry has no outstanding grant there
