The wait for changes of the store ends within the platform's contactMs

Callers got 404 for up to 3.4 s, at worst 4.9 s, for queues that had been added after the entries' connections to the store had fallen silent. Where all entries are affected, their agents know no better.

Cause: a call for changes waited 3,000 ms, was given 700 ms more and repeated after up to 1,300 ms, whatever the platform says about the time after which a machine counts as in contact again (contactMs, 3,000 or 4,000). The three times were set one by one.

PollWait derives the wait from contactMs: what remains of it after the margin of the call, the longest retry delay (now at most 600 ms and a tick) and 200 ms to connect and read. That is 1,400 ms with contactMs 3,000 and 2,400 ms with 4,000; feed_wait_ms is the upper limit. Weighed: a second, short call as a probe of the connection, which is one more call and says nothing about the call that waits.

TestChangesAreReadWithinContactAfterTheConnectionFellSilent fails with the old times: "a call that got no answer is followed by the next after 3.8s, limit 3s", at its first retry.

--- a/cmd/cactuspost-node/entry.go
+++ b/cmd/cactuspost-node/entry.go
@@ -46,8 +46,9 @@
 	followCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	store := platform.NewStore(n.platform.StoreAddress)
-	members := follow.NewMembers(store, daemon.Self(), n.settings.FeedWait, daemon.SetPeers, n.log)
-	config := platform.FollowConfig(follow.Options{PollWait: n.settings.FeedWait, Log: n.log}, store, func(raw []byte) {
+	pollWait := follow.PollWait(n.settings.FeedWait, n.platform.Contact)
+	members := follow.NewMembers(store, daemon.Self(), pollWait, daemon.SetPeers, n.log)
+	config := platform.FollowConfig(follow.Options{PollWait: pollWait, Log: n.log}, store, func(raw []byte) {
 		adoptConfig(n, daemon, raw)
 	})
 	go members.Run(followCtx)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -46,10 +46,11 @@
 
 const (
 	// minRetryDelay and maxRetryDelay bound the delay before a failed call is
-	// retried. The maximum is well below the time within which a configuration has
-	// to be in force.
+	// retried, before jitter.
 	minRetryDelay = 100 * time.Millisecond
-	maxRetryDelay = 800 * time.Millisecond
+	maxRetryDelay = 400 * time.Millisecond
+	// retryJitter is the largest part of the delay that is added at random.
+	retryJitter = 0.5
 	// callTimeoutMargin is the time that a call for changes may take in addition to
 	// its wait.
 	callTimeoutMargin = 700 * time.Millisecond
@@ -57,16 +58,32 @@
 	loadTimeout = 1500 * time.Millisecond
 	// tickInterval is the resolution of retry delays.
 	tickInterval = 100 * time.Millisecond
+	// reconnectTime is the time to open a connection and to get an answer on it.
+	reconnectTime = 200 * time.Millisecond
+	// minPollWait is the least wait for changes, so that an idle follower makes no
+	// more than a few calls a second.
+	minPollWait = 200 * time.Millisecond
 	// inboxSize exceeds the number of calls in progress, which is at most one.
 	inboxSize = 4
 )
 
+// PollWait returns how long a call for changes may wait so that, if its connection
+// falls silent, the call after it is answered within the given time of contact. The
+// result is most if contact allows it or is zero.
+func PollWait(most, contact time.Duration) time.Duration {
+	if contact <= 0 {
+		return most
+	}
+	longestRetryDelay := time.Duration((1+retryJitter)*float64(maxRetryDelay)) + tickInterval
+	return min(most, max(minPollWait, contact-callTimeoutMargin-longestRetryDelay-reconnectTime))
+}
+
 // Options configures a Follower.
 type Options struct {
 	Feed  Feed
 	Table string
 	// PollWait is how long a call waits for changes. A dead connection is detected
-	// after this time.
+	// after this time; see the function PollWait.
 	PollWait time.Duration
 	// OnRows is called with the rows read, on the follower's goroutine. If all is
 	// set, rows is the whole table: rows that are missing have been deleted. This
@@ -127,6 +144,7 @@
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval = minRetryDelay
 	retry.MaxInterval = maxRetryDelay
+	retry.RandomizationFactor = retryJitter
 	return &Follower{options: o, inbox: actor.NewInbox[callResult](inboxSize), state: followChart.Initial(), retryBackoff: retry}
 }
 
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -35,7 +35,8 @@
 	// Pause is the time without CPU after which the process is considered to have
 	// been suspended.
 	Pause time.Duration
-	// FeedWait is how long a poll of the store waits for changes.
+	// FeedWait is how long a poll of the store waits for changes at most. It waits less
+	// where the platform's settings require a shorter time to notice a dead connection.
 	FeedWait time.Duration
 	// Settle is how long an entry keeps accepting requests in a planned stop after it
 	// has reported that it is not ready. DrainTimeout is how long open jobs may take
