explain: what kept an entry from a revision also without others to compare, and when it came

Where all entries are behind, the logs have no higher revision to compare with; the faults of the entry and its next revision still tell.

--- a/internal/explain/configuration.go
+++ b/internal/explain/configuration.go
@@ -39,7 +39,13 @@
 	var newest *Line
 	for i := range lines {
 		l := &lines[i]
-		if l.Time.After(rejected.Time) || rejected.Time.Sub(l.Time) > configurationWindow {
+		if l.Time.Sub(rejected.Time).Abs() > configurationWindow {
+			continue
+		}
+		if l.Time.After(rejected.Time) {
+			if l.Node == rejected.Node && l.Event == event.ConfigurationInForce && (e.adoptedNext == nil || l.Time.Before(e.adoptedNext.Time)) {
+				e.adoptedNext = l
+			}
 			continue
 		}
 		if l.Node == rejected.Node && configurationEvents[l.Event] {
@@ -53,6 +59,9 @@
 		e.Lines = append(e.Lines, *newest)
 		e.newestElsewhere = newest
 	}
+	if e.adoptedNext != nil {
+		e.Lines = append(e.Lines, *e.adoptedNext)
+	}
 	slices.SortStableFunc(e.Lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 }
 
@@ -68,23 +77,29 @@
 	if rejected.Fields["kind"] != failure.UnknownService.String() {
 		return ""
 	}
-	if e.newestElsewhere == nil {
-		return "; no other instance had a higher revision in the logs given"
+	cause := "; no other instance had a higher revision in the logs given"
+	if n := e.newestElsewhere; n != nil {
+		cause = fmt.Sprintf("; %s had revision %d, and revision %d had been in force at %s for %d ms",
+			rejected.Node, revisionOf(rejected, "revision"), revisionOf(n, "revision"), n.Node, rejected.Time.Sub(n.Time).Milliseconds())
 	}
-	n := e.newestElsewhere
-	cause := fmt.Sprintf("; %s had revision %d, and revision %d had been in force at %s for %d ms",
-		rejected.Node, revisionOf(rejected, "revision"), revisionOf(n, "revision"), n.Node, rejected.Time.Sub(n.Time).Milliseconds())
-	return cause + e.whyBehind(rejected)
+	faults := e.configurationFaults(rejected)
+	if faults == "" && e.newestElsewhere != nil {
+		faults = "; it logged no fault: its call for changes was still waiting"
+	}
+	if next := e.adoptedNext; next != nil {
+		faults += fmt.Sprintf("; revision %d came into force there %d ms later", revisionOf(next, "revision"), next.Time.Sub(rejected.Time).Milliseconds())
+	}
+	return cause + faults
 }
 
-// whyBehind names the fault that kept the entry from the higher revision: the last
-// one that had not ended when the request was rejected.
-func (e *Explanation) whyBehind(rejected *Line) string {
+// configurationFaults names the faults of the entry that had not ended when the
+// request was rejected and that keep it from a higher revision.
+func (e *Explanation) configurationFaults(rejected *Line) string {
 	unavailable := map[string]*Line{}
 	var badRow, behind *Line
 	for i := range e.Lines {
 		l := &e.Lines[i]
-		if l.Node != rejected.Node {
+		if l.Node != rejected.Node || l.Time.After(rejected.Time) {
 			continue
 		}
 		table, _ := l.Fields["table"].(string)
@@ -120,8 +135,5 @@
 	if behind != nil {
 		why += fmt.Sprintf("; its agent at %s had revision %d", behind.Endpoint, revisionOf(behind, "reported"))
 	}
-	if why == "" {
-		return "; it logged no fault: its call for changes was still waiting"
-	}
 	return why
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -50,6 +50,9 @@
 	// newestElsewhere is the line about the highest revision in force at another
 	// instance, if that is higher than the one by which the request was rejected.
 	newestElsewhere *Line
+	// adoptedNext is the line about the revision that came into force next at the
+	// instance that rejected the request.
+	adoptedNext *Line
 }
 
 // Read parses the lines of a log. Text before the first brace of a line is
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -8,22 +8,23 @@
 )
 
 const (
-	accepted   = `{"severity":"info","time":"2026-05-16T04:04:20.000Z","name":"job accepted","node":"front-1","event":1040,"job":"0000000000000009-1-19e2ef4ff4b","request":"abc","slots_free":12}`
-	granted    = `{"severity":"info","time":"2026-05-16T04:04:20.010Z","name":"task granted","node":"front-1","event":1044,"endpoint":"side-2","job":"0000000000000009-1-19e2ef4ff4b","request":"abc","task":"abc.0.0.0","waited_ms":3}`
-	runLost    = `{"severity":"warning","time":"2026-05-16T04:04:20.500Z","name":"run failed","node":"side-2","event":2041,"task":"abc.0.0.0","grant":"0000000000000009-1-0-1","outcome":"lost"}`
-	down       = `{"severity":"warning","time":"2026-05-16T04:04:20.400Z","name":"endpoint down","node":"side-2","event":2031}`
-	failed     = `{"severity":"warning","time":"2026-05-16T04:04:21.000Z","name":"job failed","node":"front-1","event":1043,"job":"0000000000000009-1-19e2ef4ff4b","request":"abc","detail":"expired (ran): the job's lifetime is over"}`
-	refused    = `{"severity":"warning","time":"2026-05-16T04:04:20.000Z","name":"job refused","node":"front-1","event":1041,"request":"abc","detail":"overloaded (not run): the job would end after its deadline","workers":11,"slots_free":0}`
-	completed  = `{"severity":"info","time":"2026-05-16T04:04:21.000Z","name":"job complete","node":"front-1","event":1042,"job":"0000000000000009-1-19e2ef4ff4b","request":"abc","took_ms":900}`
-	waited     = `{"severity":"info","time":"2026-05-16T04:04:20.800Z","name":"task granted","node":"front-1","event":1044,"endpoint":"side-3","job":"0000000000000009-1-19e2ef4ff4b","request":"abc","task":"abc.0.0.1","waited_ms":790}`
-	rejected   = `{"severity":"warning","time":"2026-05-16T04:04:20.000Z","name":"request rejected","node":"front-1","event":1048,"request_id":"abc","kind":"unknown_service","revision":4,"detail":"unknown_service (not run): no queue in revision 4"}`
-	oldInForce = `{"severity":"info","time":"2026-05-16T04:04:01.000Z","name":"configuration in force","node":"front-1","event":3025,"revision":4,"replaced":0,"source":""}`
-	newInForce = `{"severity":"info","time":"2026-05-16T04:04:17.000Z","name":"configuration in force","node":"front-2","event":3025,"revision":6,"replaced":4,"source":""}`
-	tableAway  = `{"severity":"warning","time":"2026-05-16T04:04:18.500Z","name":"table unavailable","node":"front-1","event":3001,"table":"op","answered_ms_ago":3700,"error":"fasthttp: timeout"}`
-	tableBack  = `{"severity":"info","time":"2026-05-16T04:04:18.700Z","name":"table available","node":"front-1","event":3002,"table":"op"}`
-	behind     = `{"severity":"warning","time":"2026-05-16T04:04:17.300Z","name":"configuration behind","node":"front-1","event":3026,"endpoint":"side-1","revision":4,"reported":6}`
-	badRow     = `{"severity":"fault","time":"2026-05-16T04:04:17.100Z","name":"bad configuration row","node":"front-1","event":3022,"error":"timeoutMs"}`
-	other      = `{"severity":"info","time":"2026-05-16T04:04:20.000Z","name":"job accepted","node":"front-2","event":1040,"job":"0000000000000008-1-19e2ef4ff4b","request":"other"}`
+	accepted        = `{"severity":"info","time":"2026-05-16T04:04:20.000Z","name":"job accepted","node":"front-1","event":1040,"job":"0000000000000009-1-19e2ef4ff4b","request":"abc","slots_free":12}`
+	granted         = `{"severity":"info","time":"2026-05-16T04:04:20.010Z","name":"task granted","node":"front-1","event":1044,"endpoint":"side-2","job":"0000000000000009-1-19e2ef4ff4b","request":"abc","task":"abc.0.0.0","waited_ms":3}`
+	runLost         = `{"severity":"warning","time":"2026-05-16T04:04:20.500Z","name":"run failed","node":"side-2","event":2041,"task":"abc.0.0.0","grant":"0000000000000009-1-0-1","outcome":"lost"}`
+	down            = `{"severity":"warning","time":"2026-05-16T04:04:20.400Z","name":"endpoint down","node":"side-2","event":2031}`
+	failed          = `{"severity":"warning","time":"2026-05-16T04:04:21.000Z","name":"job failed","node":"front-1","event":1043,"job":"0000000000000009-1-19e2ef4ff4b","request":"abc","detail":"expired (ran): the job's lifetime is over"}`
+	refused         = `{"severity":"warning","time":"2026-05-16T04:04:20.000Z","name":"job refused","node":"front-1","event":1041,"request":"abc","detail":"overloaded (not run): the job would end after its deadline","workers":11,"slots_free":0}`
+	completed       = `{"severity":"info","time":"2026-05-16T04:04:21.000Z","name":"job complete","node":"front-1","event":1042,"job":"0000000000000009-1-19e2ef4ff4b","request":"abc","took_ms":900}`
+	waited          = `{"severity":"info","time":"2026-05-16T04:04:20.800Z","name":"task granted","node":"front-1","event":1044,"endpoint":"side-3","job":"0000000000000009-1-19e2ef4ff4b","request":"abc","task":"abc.0.0.1","waited_ms":790}`
+	rejected        = `{"severity":"warning","time":"2026-05-16T04:04:20.000Z","name":"request rejected","node":"front-1","event":1048,"request_id":"abc","kind":"unknown_service","revision":4,"detail":"unknown_service (not run): no queue in revision 4"}`
+	oldInForce      = `{"severity":"info","time":"2026-05-16T04:04:01.000Z","name":"configuration in force","node":"front-1","event":3025,"revision":4,"replaced":0,"source":""}`
+	newInForce      = `{"severity":"info","time":"2026-05-16T04:04:17.000Z","name":"configuration in force","node":"front-2","event":3025,"revision":6,"replaced":4,"source":""}`
+	newInForceLater = `{"severity":"info","time":"2026-05-16T04:04:23.600Z","name":"configuration in force","node":"front-1","event":3025,"revision":6,"replaced":4,"source":""}`
+	tableAway       = `{"severity":"warning","time":"2026-05-16T04:04:18.500Z","name":"table unavailable","node":"front-1","event":3001,"table":"op","answered_ms_ago":3700,"error":"fasthttp: timeout"}`
+	tableBack       = `{"severity":"info","time":"2026-05-16T04:04:18.700Z","name":"table available","node":"front-1","event":3002,"table":"op"}`
+	behind          = `{"severity":"warning","time":"2026-05-16T04:04:17.300Z","name":"configuration behind","node":"front-1","event":3026,"endpoint":"side-1","revision":4,"reported":6}`
+	badRow          = `{"severity":"fault","time":"2026-05-16T04:04:17.100Z","name":"bad configuration row","node":"front-1","event":3022,"error":"timeoutMs"}`
+	other           = `{"severity":"info","time":"2026-05-16T04:04:20.000Z","name":"job accepted","node":"front-2","event":1040,"job":"0000000000000008-1-19e2ef4ff4b","request":"other"}`
 )
 
 func explainLines(t *testing.T, id string, lines ...string) *Explanation {
@@ -57,6 +58,10 @@
 			[]string{oldInForce, newInForce, behind, rejected},
 			"rejected by front-1: unknown_service (not run): no queue in revision 4; front-1 had revision 4, and revision 6 had been in force at front-2 for 3000 ms; its agent at side-1 had revision 6",
 		},
+		"rejected while no entry could read": {
+			[]string{oldInForce, tableAway, rejected, newInForceLater},
+			"rejected by front-1: unknown_service (not run): no queue in revision 4; no other instance had a higher revision in the logs given; it could not read table op since 04:04:18.500: fasthttp: timeout; revision 6 came into force there 3600 ms later",
+		},
 		"rejected after a row that was not valid": {
 			[]string{oldInForce, newInForce, badRow, rejected},
 			"rejected by front-1: unknown_service (not run): no queue in revision 4; front-1 had revision 4, and revision 6 had been in force at front-2 for 3000 ms; it rejected the row that it read: timeoutMs",
