A task under which two workers have crashed is given up

Callers of all services got 503 and 504 meanwhile.

Cause: a run that was lost with its worker did not count. It was repeated as long as the service's tasks may be repeated, like one that was lost in a cut.

The agent now tells the entry that a lost run had been confirmed by the worker and that its process has ended since (a refused connection, or another incarnation; not silence, and not a planned stop). After two such runs the task fails, and its job is shown as failed.

TestLostRunTellsWhetherTheWorkersProcessEnded has the three cases of the agent.

--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -44,6 +44,9 @@
 	// Full is set with the outcome NotSent if the endpoint refused the task for
 	// lack of capacity.
 	Full bool
+	// WorkerCrashed is set with the outcome Lost if the worker's process ended during
+	// the run.
+	WorkerCrashed bool
 }
 
 // EndpointChanged reports whether the endpoint accepts connections. While it does
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -121,7 +121,11 @@
 		c.fireRun(r, runEvents.Unsent)
 		return
 	}
-	r.result = structs.Result{Grant: m.Grant, Outcome: m.Outcome, Payload: m.Payload, RunTime: m.RunTime}
+	r.result = structs.Result{
+		Grant: m.Grant, Outcome: m.Outcome, Payload: m.Payload, RunTime: m.RunTime,
+		// The process of a worker that drains ends as planned.
+		WorkerCrashed: m.WorkerCrashed && !c.leaving(),
+	}
 	if r.overLimit && m.Outcome != structs.Succeeded {
 		r.result.Outcome = structs.LimitExceeded
 	}
--- a/internal/agentd/leased_runner.go
+++ b/internal/agentd/leased_runner.go
@@ -136,7 +136,7 @@
 }
 
 func (r *leasedRunner) reportExit(e *leased.Exited) {
-	exit := &agent.TaskExited{Grant: e.Grant, Outcome: e.Outcome, RunTime: e.RunTime, Full: e.Full}
+	exit := &agent.TaskExited{Grant: e.Grant, Outcome: e.Outcome, RunTime: e.RunTime, Full: e.Full, WorkerCrashed: e.Crashed}
 	r.counters.taskEnded(exit)
 	r.counters.runEnded(e)
 	r.logExit(e)
@@ -162,6 +162,9 @@
 	if e.Number > 0 && (e.Outcome == structs.Lost || e.Outcome == structs.NotSent) {
 		fields = append(fields, zap.Stringer("concluded_from", e.Concluded), zap.Duration("lease_left_ms", e.LeaseLeft))
 	}
+	if e.Outcome == structs.Lost {
+		fields = append(fields, zap.Bool("crashed", e.Crashed))
+	}
 	r.log.Event(id, fields...)
 }
 
--- a/internal/agentd/leased_runner_test.go
+++ b/internal/agentd/leased_runner_test.go
@@ -40,8 +40,8 @@
 			`"event":2040,` + object + `"outcome":"succeeded","run_ms":1000,"detail":""}`,
 		},
 		"lost": {
-			&leased.Exited{Grant: grant, Task: run.Task, Number: 3, Outcome: structs.Lost, Concluded: leased.LeaseOver, LeaseLeft: -2 * time.Millisecond},
-			`"event":2041,` + object + `"outcome":"lost","run_ms":0,"detail":"","concluded_from":"lease_expired","lease_left_ms":-2}`,
+			&leased.Exited{Grant: grant, Task: run.Task, Number: 3, Outcome: structs.Lost, Concluded: leased.LeaseOver, LeaseLeft: -2 * time.Millisecond, Crashed: true},
+			`"event":2041,` + object + `"outcome":"lost","run_ms":0,"detail":"","concluded_from":"lease_expired","lease_left_ms":-2,"crashed":true}`,
 		},
 		"not requested": {
 			&leased.Exited{Grant: grant, Task: run.Task, Outcome: structs.NotSent, Full: true, Detail: "worker unavailable"},
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -30,8 +30,10 @@
 	queuedAtAgent bool
 	// overran is set if the current run takes far longer than estimated.
 	overran bool
-	// errorCount counts the runs that the endpoint ended with an error.
+	// errorCount counts the runs that the endpoint ended with an error, crashCount
+	// those during which the worker crashed.
 	errorCount int
+	crashCount int
 	// avoidedWorker is the worker where the task last failed or could not be
 	// delivered. Other workers are preferred for its next grant.
 	avoidedWorker *session
@@ -85,16 +87,22 @@
 	c.waitingBytes += len(t.payload)
 }
 
+// maxCrashes is the number of workers that may crash under a task before it is given
+// up: one crash says little, as it ends all runs on the worker, and each further one
+// takes a worker and its other runs away from all callers.
+const maxCrashes = 2
+
 // mayRepeat reports whether a task whose run ended without a result may run
 // again. Errors count towards the service's maximum of attempts; lost and stopped
-// runs don't, but are repeated only if the service's tasks are repeatable.
+// runs don't, but are repeated only if the service's tasks are repeatable and, if
+// the worker crashed, only up to maxCrashes.
 func (c *Core) mayRepeat(t *task, r *structs.Result) bool {
 	service := c.serviceSettings(t.job.service)
 	switch r.Outcome {
 	case structs.Errored:
 		return t.errorCount+1 < service.MaxAttempts
 	case structs.Lost, structs.Stopped:
-		return service.Repeatable
+		return service.Repeatable && (!r.WorkerCrashed || t.crashCount+1 < maxCrashes)
 	default:
 		return false
 	}
@@ -108,6 +116,9 @@
 	if r != nil && r.Outcome == structs.Errored {
 		t.errorCount++
 	}
+	if r != nil && r.WorkerCrashed {
+		t.crashCount++
+	}
 }
 
 func (t *task) leaveLane() {
@@ -215,6 +226,9 @@
 	case structs.LimitExceeded:
 		return failure.Newf(failure.TimeLimit, failure.Ran, "task %d exceeded its time limit: ran for %s", t.index, r.RunTime)
 	case structs.Lost:
+		if r.WorkerCrashed && t.crashCount+1 >= maxCrashes {
+			return crashFailure(t)
+		}
 		return failure.Newf(failure.EndpointLost, failure.Unknown, "task %d: the connection to the endpoint was lost", t.index)
 	default:
 		return failure.Newf(failure.TaskFailed, failure.Ran, "task %d: %s", t.index, r.Payload)
@@ -225,6 +239,10 @@
 	return failure.Newf(failure.EndpointLost, failure.Unknown, "task %d: its agent ended or did not reconnect in time", t.index)
 }
 
+func crashFailure(t *task) *failure.Failure {
+	return failure.Newf(failure.TaskFailed, failure.Ran, "task %d: its worker crashed in each of %d runs", t.index, maxCrashes)
+}
+
 func cancelFailure(j *job) *failure.Failure {
 	return failure.New(failure.Cancelled, j.runStatus(), "the caller cancelled the job or disconnected")
 }
--- a/internal/leased/core.go
+++ b/internal/leased/core.go
@@ -90,6 +90,9 @@
 	leaseExpiresAt time.Time
 	// answeredAt is when the worker last answered a poll.
 	answeredAt time.Time
+	// processGoneAt is when a poll last showed that the process that had been there is
+	// gone: nothing listens at its address, or another incarnation answers.
+	processGoneAt time.Time
 	// pollsInFlight counts the unanswered polls, lastPollAt is when the last one
 	// was sent, and pollNow requests one that the worker answers without waiting.
 	pollsInFlight int
@@ -265,6 +268,7 @@
 	case Replaced:
 		c.handleReplaced()
 	case ConnectionRefused:
+		c.processGoneAt = c.now
 		c.nextPollAt = c.now.Add(refusedRetryInterval)
 		c.fireLease(leaseEvents.ConnectionRefused)
 	default:
@@ -309,6 +313,7 @@
 
 // handleReplaced handles an answer of another incarnation of the worker.
 func (c *Core) handleReplaced() {
+	c.processGoneAt = c.now
 	c.endCause = Replaced
 	c.fireLease(leaseEvents.Replaced)
 }
--- a/internal/leased/core_test.go
+++ b/internal/leased/core_test.go
@@ -220,6 +220,26 @@
 	h.Equal(lastEffect[*Exited](h).Outcome, structs.Lost)
 }
 
+// Only a process that is gone tells a crash from a worker that is cut off or suspended.
+func TestLostRunTellsWhetherTheWorkersProcessEnded(t *testing.T) {
+	for _, c := range []struct {
+		start, poll CallResult
+		crashed     bool
+	}{{Done, ConnectionRefused, true}, {Done, Unanswered, false}, {Unanswered, ConnectionRefused, false}} {
+		h := newHeldHarness(t)
+		h.step(&StartAnswered{Run: h.requestStart(1), Result: c.start})
+		for end := h.core.leaseExpiresAt.Add(2 * refusedRetryInterval); h.now.Before(end); {
+			h.tick(10 * time.Millisecond)
+			if h.core.pollsInFlight > 0 {
+				h.step(&PollAnswered{Result: c.poll, SentAt: h.now})
+			}
+		}
+		lost := lastEffect[*Exited](h)
+		h.Equal(lost.Outcome, structs.Lost)
+		h.Equal(lost.Crashed, c.crashed)
+	}
+}
+
 // A higher fencing token at the worker ends no run, either.
 func TestRejectedTokenDoesNotEndTheRuns(t *testing.T) {
 	for _, reject := range []func(*harness){
--- a/internal/leased/messages.go
+++ b/internal/leased/messages.go
@@ -223,7 +223,10 @@
 	// the agent's reckoning; it is negative after that.
 	LeaseLeft time.Duration
 	// Full is set with NotSent if the worker had no room for the run at that time.
-	Full    bool
+	Full bool
+	// Crashed is set with Lost if the worker has executed the run and its process has
+	// ended since.
+	Crashed bool
 	RunTime time.Duration
 	// StopTime is the time since the first stop request, zero if there was none.
 	StopTime time.Duration
--- a/internal/leased/reconcile.go
+++ b/internal/leased/reconcile.go
@@ -67,6 +67,7 @@
 			continue
 		}
 		if running[r.id] {
+			r.confirmed = true
 			c.reportStoppedRun(r)
 			c.fireRun(r, runEvents.Listed)
 		} else {
--- a/internal/leased/run.go
+++ b/internal/leased/run.go
@@ -22,6 +22,8 @@
 	// answeredAt is when the last request about the run was answered.
 	answeredAt  time.Time
 	startResult CallResult
+	// confirmed is set when the worker has said that it executes the run.
+	confirmed bool
 	endReason   EndReason
 	// stopSentAt is when the last stop request was sent. nextStopAt is when the
 	// next one is due; zero means that none is scheduled.
@@ -81,6 +83,7 @@
 	r.answeredAt = c.now
 	switch m.Result {
 	case Done:
+		r.confirmed = true
 		c.fireRun(r, runEvents.Accepted)
 	case Unanswered:
 		c.fireRun(r, runEvents.Unanswered)
@@ -208,7 +211,7 @@
 }
 
 func (c *Core) reportLost(r *workerRun) {
-	c.emitExited(r, Exited{Outcome: structs.Lost, RunTime: c.now.Sub(r.startedAt)})
+	c.emitExited(r, Exited{Outcome: structs.Lost, Crashed: r.confirmed && c.processGoneAt.After(r.startedAt), RunTime: c.now.Sub(r.startedAt)})
 }
 
 // anyRun is a filter that accepts every run.
--- a/internal/structs/link.go
+++ b/internal/structs/link.go
@@ -95,6 +95,9 @@
 	Payload []byte
 	// RunTime is the run time as measured by the agent.
 	RunTime time.Duration
+	// WorkerCrashed is set with the outcome Lost if the worker executed the run and its
+	// process ended meanwhile, whatever made it end.
+	WorkerCrashed bool
 }
 
 // RefusalReason is the reason why an agent did not start a granted task.
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -96,7 +96,7 @@
 		r := &m.Results[i]
 		pb.Results = append(pb.Results, &wirepb.Result{
 			Grant: grantIDToPB(r.Grant), Outcome: uint32(r.Outcome),
-			Payload: r.Payload, RunTimeUs: r.RunTime.Microseconds(),
+			Payload: r.Payload, RunTimeUs: r.RunTime.Microseconds(), WorkerCrashed: r.WorkerCrashed,
 		})
 	}
 	for _, r := range m.Refusals {
@@ -118,7 +118,7 @@
 	for _, r := range pb.Results {
 		m.Results = append(m.Results, structs.Result{
 			Grant: grantIDFromPB(r.Grant), Outcome: structs.Outcome(r.Outcome),
-			Payload: r.Payload, RunTime: microsToDuration(r.RunTimeUs),
+			Payload: r.Payload, RunTime: microsToDuration(r.RunTimeUs), WorkerCrashed: r.WorkerCrashed,
 		})
 	}
 	for _, r := range pb.Refusals {
