--- a/internal/leased/run.go
+++ b/internal/leased/run.go
@@ -24,7 +24,7 @@
 	startResult CallResult
 	// confirmed is set when the worker has said that it executes the run.
 	confirmed bool
-	endReason   EndReason
+	endReason EndReason
 	// stopSentAt is when the last stop request was sent. nextStopAt is when the
 	// next one is due; zero means that none is scheduled.
 	stopSentAt time.Time
