An agent follows its worker's capacity while it runs

A worker's capacity may shrink and grow during its life. The agent went on offering what the worker had at its start: a worker that guards its capacity rejected the starts, and one that does not would have been brought over it (LIMIT).

Cause: the capacity of a heartbeat was read only when it began a life of the worker.

The supervisor passes a changed capacity on, and the agent withholds slots (chart slot): free ones at once, those offered to entries by taking the credits back, and those of tasks, also of tasks that are being stopped, when they end.

--- a/internal/agent/charts.go
+++ b/internal/agent/charts.go
@@ -92,13 +92,16 @@
 	Release  chart.Event `chart:"release"`
 	Claim    chart.Event `chart:"claim"`
 	Leave    chart.Event `chart:"leave"`
+	Withhold chart.Event `chart:"withhold"`
+	Restore  chart.Event `chart:"restore"`
 }
 
 var slotStates struct {
-	Free    chart.State `chart:"free"`
-	Offered chart.State `chart:"offered"`
-	Busy    chart.State `chart:"busy"`
-	Closed  chart.State `chart:"closed"`
+	Free     chart.State `chart:"free"`
+	Offered  chart.State `chart:"offered"`
+	Busy     chart.State `chart:"busy"`
+	Withheld chart.State `chart:"withheld"`
+	Closed   chart.State `chart:"closed"`
 }
 
 // runContext is the context passed to guards and actions of the run chart.
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -101,6 +101,9 @@
 	predecessorEnded bool
 
 	slots []*slot
+	// usableSlots is the number of slots that the endpoint's capacity has room for at
+	// present.
+	usableSlots int
 	// offeredAnyCredits counts the slots offered as Any credits, which long tasks
 	// may use, and busyLongSlots the slots held by long tasks.
 	offeredAnyCredits int
@@ -141,6 +144,7 @@
 		predecessorEnded: !o.Takeover,
 	}
 	c.drain = drain.New(c.beginDrain, func() { c.emit(&Drained{}) })
+	c.usableSlots = o.Slots
 	for range o.Slots {
 		c.slots = append(c.slots, &slot{state: slotChart.Initial()})
 	}
@@ -164,6 +168,8 @@
 		c.handleTaskExited(m)
 	case *EndpointChanged:
 		c.handleEndpointChanged(m.Up)
+	case *CapacityChanged:
+		c.handleCapacityChanged(m.Capacity)
 	case *Suspended:
 		c.closeAllLinks()
 	case *EntriesFound:
@@ -196,6 +202,7 @@
 // and after Tick.
 func (c *Core) Flush(now time.Time) {
 	c.now = now
+	c.enforceCapacity()
 	c.startQueued()
 	c.allocateFreeSlots()
 	for _, l := range c.links {
@@ -315,13 +322,13 @@
 			share = max(share, service.ShortReserve)
 		}
 	}
-	return int(share * float64(len(c.slots)))
+	return int(share * float64(c.usableSlots))
 }
 
 func (c *Core) view() View {
 	v := View{
 		Endpoint: c.opts.Endpoint, Leaving: c.leaving(), Revision: c.revision(),
-		Slots: len(c.slots), Unacked: c.unacked, Started: c.started, Refused: c.refused,
+		Slots: c.usableSlots, Unacked: c.unacked, Started: c.started, Refused: c.refused,
 	}
 	for _, s := range c.slots {
 		switch s.state {
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -249,7 +249,7 @@
 func (c *Core) sendHello(l *link) {
 	hello := &structs.Hello{
 		Endpoint: c.opts.Endpoint, Incarnation: c.opts.Incarnation, Connection: uint64(l.id), Session: uint64(l.session), Pool: c.opts.Pool, DataCentre: c.opts.DataCentre,
-		Slots: uint32(len(c.slots)), Capacity: c.opts.Capacity, Divided: c.opts.Divided, Leaving: c.leaving(),
+		Slots: uint32(c.opts.Slots), Capacity: c.opts.Capacity, Divided: c.opts.Divided, Leaving: c.leaving(),
 	}
 	for _, r := range c.sortedRuns() {
 		hello.Held = append(hello.Held, r.grant.ID)
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -53,6 +53,10 @@
 // not, no credits are offered. Core starts with the endpoint down.
 type EndpointChanged struct{ Up bool }
 
+// CapacityChanged reports the endpoint's present capacity, which may shrink and grow
+// while tasks run.
+type CapacityChanged struct{ Capacity structs.Needs }
+
 // EntriesFound answers FindEntries with the list of entries.
 type EntriesFound struct{ Peers []structs.Peer }
 
@@ -75,6 +79,7 @@
 func (*EntryMessage) isMessage()    {}
 func (*TaskExited) isMessage()      {}
 func (*EndpointChanged) isMessage() {}
+func (*CapacityChanged) isMessage() {}
 func (*Stop) isMessage()            {}
 func (*Suspended) isMessage()       {}
 func (*EntriesFound) isMessage()    {}
--- a/internal/agent/queue.go
+++ b/internal/agent/queue.go
@@ -19,7 +19,7 @@
 
 // mayWait reports whether a grant that uses no credit may be queued for slots.
 func (c *Core) mayWait(r *run) bool {
-	if !r.grant.Queued || !c.endpointUp || c.leaving() || r.grant.Credits() > len(c.slots) {
+	if !r.grant.Queued || !c.endpointUp || c.leaving() || r.grant.Credits() > c.usableSlots {
 		return false
 	}
 	waiting := 0
--- a/internal/agent/slot.go
+++ b/internal/agent/slot.go
@@ -190,7 +190,7 @@
 			sharers++
 		}
 	}
-	evenShare := uint32(len(c.slots) / sharers)
+	evenShare := uint32(c.usableSlots / sharers)
 	need := evenShare
 	for _, s := range c.slots {
 		if need == 0 {
@@ -217,7 +217,7 @@
 // Any credits. It may be negative after a new configuration has raised the
 // reserve.
 func (c *Core) availableAnyCredits() int {
-	return len(c.slots) - c.reservedSlots() - c.offeredAnyCredits - c.busyLongSlots
+	return c.usableSlots - c.reservedSlots() - c.offeredAnyCredits - c.busyLongSlots
 }
 
 // resultBufferFull reports whether the unacknowledged results, together with those
@@ -333,7 +333,7 @@
 // on whether slots are divided.
 func (c *Core) creditSurplusLimit() uint32 {
 	if c.opts.Divided {
-		return uint32(maxCreditSurplusShare * float64(len(c.slots)))
+		return uint32(maxCreditSurplusShare * float64(c.usableSlots))
 	}
 	return maxCreditSurplus
 }
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -166,6 +166,12 @@
 	}
 }
 
+// SetCapacity tells the agent the worker's present capacity. It has no effect once the
+// agent has ended.
+func (d *Daemon) SetCapacity(capacity structs.Needs) {
+	d.core.Send(coreInput{message: &agent.CapacityChanged{Capacity: capacity}})
+}
+
 // Wait blocks until the agent has ended. It returns nil after a planned stop,
 // else a failure of kind Internal.
 func (d *Daemon) Wait() error {
--- a/internal/agentd/supervisor.go
+++ b/internal/agentd/supervisor.go
@@ -144,6 +144,9 @@
 			s.save(a)
 		}
 	}
+	if a.sameIncarnation(previous) && a.Capacity != previous.Capacity && s.agent != nil && s.agent.core != nil {
+		s.agent.SetCapacity(a.Capacity)
+	}
 	switch {
 	case a.Draining:
 		s.fire(supervisorEvents.Draining)
--- a/internal/agentd/supervisor_test.go
+++ b/internal/agentd/supervisor_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/leased"
 	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/settings"
@@ -153,3 +156,43 @@
 	is.True(s.Handle(time.Now(), supervisorInput{})) // the supervisor waits for the end of the agent
 	is.True(!s.Handle(time.Now(), supervisorInput{ended: s.agent}))
 }
+
+// Guards against an agent that goes on with the capacity that its worker had at first.
+func TestCapacityOfAHeartbeatReachesTheAgent(t *testing.T) {
+	is := is.New(t)
+	var events syncBuffer
+	s := NewSupervisor(func(a Announcement) Config {
+		return Config{
+			Agent:  settings.Agent{Endpoint: "w", Pool: a.Pool, Slots: 20, Capacity: a.Capacity, HTTPAddress: "127.0.0.1:0", UnackedLimit: 10},
+			Worker: idleWorker{born: a.Born}, Born: a.Born, Log: logging.New(&events, event.Info),
+		}
+	}, func(Announcement) {}, logging.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	go s.Run(ctx)
+	t.Cleanup(func() { cancel(); <-s.inbox.Done() })
+	s.Announce(newAnnouncement(10, 1))
+	shrunk := newAnnouncement(10, 2)
+	shrunk.Capacity = structs.Needs{Cores: 1}
+	s.Announce(shrunk)
+	waitUntil(t, func() bool { return strings.Contains(events.String(), "10 slots, 20 before") })
+	is.True(s.Announce(newAnnouncement(10, 3)))
+	waitUntil(t, func() bool { return strings.Contains(events.String(), "20 slots, 10 before") })
+}
+
+// syncBuffer is a buffer that may be read while a log writes to it.
+type syncBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
--- a/internal/event/agent.go
+++ b/internal/event/agent.go
@@ -34,6 +34,7 @@
 	StopOverdue              ID = 2054
 	RunsLost                 ID = 2055
 	StoppedRunListed         ID = 2056
+	CapacityChanged          ID = 2057
 )
 
 var agentEvents = []Description{
@@ -69,4 +70,5 @@
 	{StopOverdue, Warning, "stop overdue", "A run was asked to stop and its end is not known after the limit; the agent asks again until the worker answers, except in state revoked.", "Check the worker if this repeats; look for a second run of the task."},
 	{RunsLost, Warning, "runs lost", "The lease has expired with runs on the worker, so all of them have ended; their entries repeat the tasks.", "Check the worker if this repeats."},
 	{StoppedRunListed, Warning, "stopped run listed", "The worker lists a run as running although it should have stopped: it executed a stop, or left all unanswered until the start had expired. The lease is not extended while this lasts.", "Check the worker if this repeats."},
+	{CapacityChanged, Info, "capacity changed", "The worker reports another capacity; the agent offers fewer or more slots from now on.", "None."},
 }
--- a/spec/gen/slot.pml
+++ b/spec/gen/slot.pml
@@ -4,6 +4,7 @@
 #define slot_closed 1
 #define slot_free 2
 #define slot_offered 3
+#define slot_withheld 4
 #define slot_initial slot_free
 #define slot_is_final(state) (false)
 #define slot_fire(self, event) slot_on_##event(self)
@@ -24,6 +25,8 @@
   :: slot_state[self] == slot_offered ->
     slot_do_withdraw(self);
     slot_state[self] = slot_closed
+  :: slot_state[self] == slot_withheld ->
+    slot_state[self] = slot_closed
   :: else -> skip
   fi
 }
@@ -61,6 +64,14 @@
   fi
 }
 
+inline slot_on_restore(self) {
+  if
+  :: slot_state[self] == slot_withheld ->
+    slot_state[self] = slot_free
+  :: else -> skip
+  fi
+}
+
 inline slot_on_revoke(self) {
   if
   :: slot_state[self] == slot_offered ->
@@ -78,3 +89,14 @@
   :: else -> skip
   fi
 }
+
+inline slot_on_withhold(self) {
+  if
+  :: slot_state[self] == slot_free ->
+    slot_state[self] = slot_withheld
+  :: slot_state[self] == slot_offered ->
+    slot_do_withdraw(self);
+    slot_state[self] = slot_withheld
+  :: else -> skip
+  fi
+}
