A registration with an address that nobody can listen on is skipped

A row of another writer among the entries, with a port out of range or without a host, was taken for an entry: all agents got the address and dialled it five times a second for as long as the row stood. Rows that are deeply nested, have a number too large or are no JSON cost only themselves before, too; the process goes on and reads the next change.

Cause: only an empty address was rejected. TestOddRowCostsNoEntryButItself fails before: "6 != 2", the odd addresses are among the entries.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -117,3 +119,25 @@
 	store.next(t).answer <- callResult{version: 2, rows: []Row{{Key: "a", Deleted: true}}}
 	is.Equal(<-lists, []structs.Peer{self})
 }
+
+// Guards against one row of another writer that ends the process, hides the rows beside
+// it, or sends agents to an address that nobody can listen on.
+func TestOddRowCostsNoEntryButItself(t *testing.T) {
+	is := is.New(t)
+	self := structs.Peer{Name: "b", LinkAddress: "127.0.0.1:2"}
+	var list []structs.Peer
+	m := NewMembers(newFakeStore(), self, time.Minute, func(p []structs.Peer) { list = p }, logging.Discard())
+	odd := []string{
+		strings.Repeat("[", 1_000_000), strings.Repeat(`{"name":`, 100_000), `{"name":"x","incarnation":1e400,"link_address":"127.0.0.1:1"}`,
+		`{"name":"x","link_address":"127.0.0.1:65536"}`, `{"name":"x","link_address":"127.0.0.1:-1"}`, `{"name":"x","link_address":":7000"}`,
+		`{"name":"x","link_address":"127.0.0.1"}`, `{"name":7}`, `null`, ``, "\xff\x00",
+	}
+	rows := []Row{{Key: "a", Value: []byte(`{"name":"a","link_address":"127.0.0.1:1"}`)}}
+	for i, text := range odd {
+		rows = append(rows, Row{Key: fmt.Sprintf("x%d", i), Value: []byte(text)})
+	}
+	m.applyRows(rows, true)
+	is.Equal(len(list), 1+1) // this entry and a
+	m.applyRows([]Row{{Key: "c", Value: []byte(`{"name":"c","link_address":"127.0.0.1:3"}`)}}, false)
+	is.Equal(len(list), 2+1)
+}
--- a/internal/follow/members.go
+++ b/internal/follow/members.go
@@ -4,12 +4,15 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"net"
 	"slices"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"cactuspost.example/internal/event"
+	"cactuspost.example/internal/failure"
 	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/structs"
 )
@@ -112,13 +115,29 @@
 // decodeMember decodes a registration. It logs an invalid one and reports false.
 func decodeMember(row Row, log *logging.Logger) (structs.Peer, bool) {
 	var p structs.Peer
-	if err := json.Unmarshal(row.Value, &p); err != nil || p.LinkAddress == "" {
-		log.Event(event.BadInstanceRow, zap.String("table", MembersTable), zap.String("key", row.Key))
+	err := json.Unmarshal(row.Value, &p)
+	if err == nil {
+		err = checkAddress(p.LinkAddress)
+	}
+	if err != nil {
+		log.Event(event.BadInstanceRow, zap.String("table", MembersTable), zap.String("key", row.Key), zap.String("error", err.Error()))
 		return structs.Peer{}, false
 	}
 	return p, true
 }
 
+// checkAddress returns a failure of kind Invalid if nobody can listen on an address.
+func checkAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return failure.Wrap(err, failure.Invalid, failure.NotRun, "parse the address of an entry")
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 || host == "" {
+		return failure.Newf(failure.Invalid, failure.NotRun, "the address %.40q has no host, or a port that is not from 1 to 65535", address)
+	}
+	return nil
+}
+
 // applyRows updates the list of entries and reports it. This entry is in the list
 // even while its row is not.
 func (m *Members) applyRows(rows []Row, all bool) {
