A stored announcement from the far future is ignored

An agent that read such a row of another writer at its start took all heartbeats of its worker for stale, and never followed it: the worker was lost to the system until its agent started again without the row.

Cause: of two announcements the one with the later start of the worker wins, and a stored one was not checked. Clocks that differ by seconds still work as before; a start more than an hour ahead is not one. TestOddStoredAnnouncementIsIgnored fails before.

--- a/internal/agentd/announcement_store.go
+++ b/internal/agentd/announcement_store.go
@@ -26,6 +26,8 @@
 const (
 	// storeTimeout is the timeout of one call of the store.
 	storeTimeout = 1500 * time.Millisecond
+	// maxClockError is more than the clocks of a worker and this machine ever differ.
+	maxClockError = time.Hour
 	// storeTickInterval is the interval between attempts to write.
 	storeTickInterval = 500 * time.Millisecond
 	// storeInboxSize is the capacity of the inbox. Of the announcements in one
@@ -74,7 +76,19 @@
 		return
 	}
 	var a Announcement
-	if raw == nil || json.Unmarshal(raw, &a) != nil || a.Worker == "" || a.Draining {
+	if raw == nil {
+		return
+	}
+	if err := json.Unmarshal(raw, &a); err != nil {
+		s.log.Event(event.WorkerStateNotRead, zap.String("error", err.Error()))
+		return
+	}
+	// An incarnation in the far future would make all heartbeats look stale.
+	if limit := time.Now().Add(maxClockError).UnixMilli(); a.Born > limit {
+		s.log.Event(event.WorkerStateNotRead, zap.String("worker", a.Worker), zap.Int64("born", a.Born), zap.Int64("limit", limit))
+		return
+	}
+	if a.Worker == "" || a.Draining {
 		return
 	}
 	a.Sequence = 0
--- a/internal/agentd/supervisor_test.go
+++ b/internal/agentd/supervisor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -144,6 +145,22 @@
 	third.load(func(Announcement) bool { t.Error("the announcement of a draining worker was loaded"); return true })
 }
 
+// Guards against an agent that never follows its worker again, because a stored
+// announcement of another writer is later than all heartbeats.
+func TestOddStoredAnnouncementIsIgnored(t *testing.T) {
+	future := time.Now().Add(48 * time.Hour).UnixMilli()
+	for _, odd := range []string{
+		fmt.Sprintf(`{"Worker":"i-1","Born":%d}`, future), `{"Worker":"i-1","Born":1e400}`, strings.Repeat("[", 1_000_000), `{"Worker":7}`, "",
+	} {
+		store := &singleRowStore{}
+		value := []byte(odd)
+		store.value.Store(&value)
+		s := NewAnnouncementStore(store, "w", logging.Discard())
+		s.ctx = context.Background()
+		s.load(func(a Announcement) bool { t.Errorf("%.60s was loaded: %+v", odd, a); return true })
+	}
+}
+
 // An agent that could not be started has no core to stop; the planned stop must
 // wait for its end like for that of any other agent.
 func TestPlannedStopAfterAFailedAgentStart(t *testing.T) {
