Crashes under a task count across the submissions of its job

A client that sends its job again after a broken connection or a deadline had each task started as if for the first time, and each submission took two more workers down; a crash that was noticed after the job's deadline did not count at all.

Cause: the count was the task's, which ends with the submission.

An entry remembers for a minute, by the job's name, how many workers crashed under each task, also of runs whose job has ended. A job with a task that was given up is answered as failed at once.

TestCrashesCountAcrossSubmissionsOfAJob fails before: the second submission's task is granted again after its crash.

--- a/internal/dispatch/attached.go
+++ b/internal/dispatch/attached.go
@@ -27,6 +27,9 @@
 		c.answerOrWait(j, m.Reply, true)
 		return
 	}
+	if c.answerGivenUp(m) {
+		return
+	}
 	if f := c.checkRun(m); f != nil {
 		c.stats.JobsRefused++
 		c.emit(&LogEvent{Event: event.JobRefused, Request: m.Submission.Name, RequestID: m.Submission.RequestID, Detail: f.Error()})
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -49,6 +49,8 @@
 	waiters map[ReplyID]*job
 	// namedJobs holds the open attached jobs by their callers' names.
 	namedJobs map[string]*job
+	// crashes holds what is remembered of crashes, by the names of attached jobs.
+	crashes map[string]*crashRecord
 	// drainingSince is when the drain began.
 	drainingSince time.Time
 	// startedAt is the time of the first message or tick.
@@ -90,6 +92,7 @@
 		jobs:         map[uint64]*job{},
 		waiters:      map[ReplyID]*job{},
 		namedJobs:    map[string]*job{},
+		crashes:      map[string]*crashRecord{},
 		pools:        map[string]*pool{},
 		sessions:     map[string]*session{},
 		links:        map[LinkID]*session{},
@@ -158,6 +161,7 @@
 	c.lastScan = now
 	c.endLateAtAgents()
 	c.catchUp.tick()
+	c.forgetCrashes()
 	for _, p := range c.orderedPools {
 		for _, s := range slices.Clone(p.sessions) {
 			c.scanSession(s)
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -17,6 +17,9 @@
 		if t == nil {
 			continue
 		}
+		if r.WorkerCrashed {
+			c.countCrash(t)
+		}
 		c.recordOutcome(s, t, r)
 		if r.Outcome == structs.Succeeded {
 			c.fireTask(t, taskEvents.Succeeded, nil, r)
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -31,7 +31,7 @@
 	// overran is set if the current run takes far longer than estimated.
 	overran bool
 	// errorCount counts the runs that the endpoint ended with an error, crashCount
-	// those during which the worker crashed.
+	// those during which the worker crashed, also in earlier submissions of the job.
 	errorCount int
 	crashCount int
 	// avoidedWorker is the worker where the task last failed or could not be
@@ -68,6 +68,7 @@
 	t.payload = spec.Payload
 	t.declaredRunTime = spec.Declared
 	t.name = spec.Name
+	t.crashCount = c.crashesUnder(j.name, index)
 	t.step = spec.Step
 	t.needs = cmp.Or(spec.Needs, s.Needs)
 	t.queuedAt = c.now
@@ -87,11 +88,6 @@
 	c.waitingBytes += len(t.payload)
 }
 
-// maxCrashes is the number of workers that may crash under a task before it is given
-// up: one crash says little, as it ends all runs on the worker, and each further one
-// takes a worker and its other runs away from all callers.
-const maxCrashes = 2
-
 // mayRepeat reports whether a task whose run ended without a result may run
 // again. Errors count towards the service's maximum of attempts; lost and stopped
 // runs don't, but are repeated only if the service's tasks are repeatable and, if
@@ -102,7 +98,7 @@
 	case structs.Errored:
 		return t.errorCount+1 < service.MaxAttempts
 	case structs.Lost, structs.Stopped:
-		return service.Repeatable && (!r.WorkerCrashed || t.crashCount+1 < maxCrashes)
+		return service.Repeatable && (!r.WorkerCrashed || t.crashCount < maxCrashes)
 	default:
 		return false
 	}
@@ -116,9 +112,6 @@
 	if r != nil && r.Outcome == structs.Errored {
 		t.errorCount++
 	}
-	if r != nil && r.WorkerCrashed {
-		t.crashCount++
-	}
 }
 
 func (t *task) leaveLane() {
@@ -226,8 +219,8 @@
 	case structs.LimitExceeded:
 		return failure.Newf(failure.TimeLimit, failure.Ran, "task %d exceeded its time limit: ran for %s", t.index, r.RunTime)
 	case structs.Lost:
-		if r.WorkerCrashed && t.crashCount+1 >= maxCrashes {
-			return crashFailure(t)
+		if r.WorkerCrashed && t.crashCount >= maxCrashes {
+			return crashFailure(t.index)
 		}
 		return failure.Newf(failure.EndpointLost, failure.Unknown, "task %d: the connection to the endpoint was lost", t.index)
 	default:
@@ -239,10 +232,6 @@
 	return failure.Newf(failure.EndpointLost, failure.Unknown, "task %d: its agent ended or did not reconnect in time", t.index)
 }
 
-func crashFailure(t *task) *failure.Failure {
-	return failure.Newf(failure.TaskFailed, failure.Ran, "task %d: its worker crashed in each of %d runs", t.index, maxCrashes)
-}
-
 func cancelFailure(j *job) *failure.Failure {
 	return failure.New(failure.Cancelled, j.runStatus(), "the caller cancelled the job or disconnected")
 }
