--- a/internal/agent/capacity.go
+++ b/internal/agent/capacity.go
@@ -14,13 +14,15 @@
 // many slots a task takes stays valid.
 func (c *Core) handleCapacityChanged(capacity structs.Needs) {
 	usable := c.slotsWithin(capacity)
-	if usable == c.usableSlots {
+	if usable == c.usableSlots || c.leaving() {
 		return
 	}
 	c.emit(&LogEvent{Event: event.CapacityChanged, Detail: fmt.Sprintf("%d slots, %d before", usable, c.usableSlots)})
 	c.usableSlots = usable
 	for len(c.slots) < usable {
-		c.slots = append(c.slots, &slot{state: slotStates.Withheld})
+		added := &slot{state: slotChart.Initial()}
+		c.fireSlot(added, slotEvents.Withhold, nil)
+		c.slots = append(c.slots, added)
 	}
 	c.enforceCapacity()
 	spare := usable - c.slotsInUse()
