--- a/test/operations/explain_test.go
+++ b/test/operations/explain_test.go
@@ -56,26 +56,34 @@
 }
 
 func newTestSite(t *testing.T) *testSite {
+	t.Helper()
+	return newTestSiteWith(t, 1)
+}
+
+// newTestSiteWith returns a site with the given number of entries.
+func newTestSiteWith(t *testing.T, entries int) *testSite {
 	t.Helper()
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	s := &testSite{is: is, folder: t.TempDir()}
 	site, err := cluster.StartSite(ctx, cluster.SiteOptions{
-		Node: node, Folder: s.folder, NodeSettings: "../../deploy/node.jsonc", Entries: 1, Agents: 1, CPU: workerCPU, Seed: 1,
+		Node: node, Folder: s.folder, NodeSettings: "../../deploy/node.jsonc", Entries: entries, Agents: 1, CPU: workerCPU, Seed: 1,
 		Observe: func(standin.RunEvent) {},
 	})
 	t.Cleanup(site.Close)
 	is.NoErr(err)
 	s.site = site
-	site.Store.Configure(1, []standin.Route{
-		{Name: "jobs", Host: host, Prefix: prefix, Service: cluster.Service, TimeoutMS: 4000, ObjectiveMS: 400, Stretch: 2, MaxAttempts: 2},
-	})
+	site.Store.Configure(1, []standin.Route{newRoute("jobs", prefix)})
 	s.client = standin.NewClient(site.EntryNodes[0].Clients.Address())
 	s.awaitServed() // a served job implies that the worker is connected
 	return s
 }
 
+func newRoute(name, prefix string) standin.Route {
+	return standin.Route{Name: name, Host: host, Prefix: prefix, Service: cluster.Service, TimeoutMS: 4000, ObjectiveMS: 400, Stretch: 2, MaxAttempts: 2}
+}
+
 // awaitServed submits jobs until one is served.
 func (s *testSite) awaitServed() {
 	s.is.Helper()
