A worker's lease ends before the tasks of a lost entry can run again

Cause: a lease was renewed for 700 ms until the agent had given an entry up. An agent that then stood still, or whose stops got no answer, left runs on the worker for up to 1,610 ms after the entry's last sign of life; a client sends its job again after 1,300 ms, an entry repeats tasks after 1,650 ms or more.

Change: the agent reports when the first of its runs must have ended if its entry is not heard of again (resendMs less 100 ms after the newest message that the entry has confirmed), and the lease is never granted beyond that. The simulation of agents and workers ends runs by this bound as the lease does.

TestLeaseEndsByTheBoundOfTheRuns is new.

--- a/cmd/cactuspost-node/agent.go
+++ b/cmd/cactuspost-node/agent.go
@@ -18,6 +18,10 @@
 const (
 	// unackedLimit limits the number of results that no entry has acknowledged.
 	unackedLimit = 100_000
+	// resendMargin is how long before a client sends its job again the runs of an entry
+	// that has ended must be gone. It allows for the time by which the client noticed
+	// the end of the entry earlier than the platform counts.
+	resendMargin = 100 * time.Millisecond
 	// controlStopTimeout is the timeout for shutting down the server for heartbeats.
 	controlStopTimeout = 200 * time.Millisecond
 )
@@ -62,7 +66,7 @@
 		Worker:      platform.NewWorker(p.WorkerAddress, a.Worker),
 		Born:        a.Born,
 		Lease:       leased.Timing{Lease: s.Lease, MaxLease: p.MaxLease, PollWait: s.PollWait},
-		Timing:      agentd.Timing{HeartbeatInterval: s.Heartbeat, SilenceTimeout: s.EntrySilence, EntryGrace: s.EntryGrace, PauseThreshold: s.Pause, DialTimeout: s.Dial, MaxRetryDelay: s.Redial},
+		Timing:      agentd.Timing{HeartbeatInterval: s.Heartbeat, SilenceTimeout: s.EntrySilence, EntryGrace: s.EntryGrace, PauseThreshold: s.Pause, DialTimeout: s.Dial, MaxRetryDelay: s.Redial, MaxUnheard: max(0, p.Resend-resendMargin)},
 		FindEntries: findEntries,
 		Log:         n.log,
 	}
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -57,6 +57,9 @@
 	// SilenceTimeout and EntryGrace together, or than ConfirmTimeout and
 	// reconnectTime, whichever is longer.
 	EntryGrace time.Duration
+	// MaxUnheard is the longest time that a run may go on after the newest message that
+	// its entry has confirmed, whatever fails; zero means that BoundRuns is not used.
+	MaxUnheard time.Duration
 	// PauseThreshold is the time between two inputs above which the process counts
 	// as having been paused; zero turns the detection off.
 	PauseThreshold time.Duration
@@ -122,6 +125,9 @@
 	// for the list of entries.
 	noLinkUpSince time.Time
 
+	// runsBound is the bound last reported by BoundRuns.
+	runsBound time.Time
+
 	// started and refused are the totals shown in View.
 	started uint64
 	refused uint64
@@ -205,6 +211,7 @@
 	c.enforceCapacity()
 	c.startQueued()
 	c.allocateFreeSlots()
+	c.boundRuns(nil)
 	for _, l := range c.links {
 		c.flushLink(l)
 	}
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -52,6 +52,10 @@
 	// latest connection. Zero means that the entry doesn't report it.
 	confirmedAt time.Time
 
+	// vouchedAt is when the newest message was sent that shows the entry to be alive: the
+	// newest confirmed one on any connection to it.
+	vouchedAt time.Time
+
 	// credits counts the credits that the entry holds.
 	credits structs.Credits
 	// demand is the entry's demand, less the credits offered for it since.
@@ -274,6 +278,7 @@
 	if l.state != linkStates.Up {
 		return
 	}
+	c.vouch(l)
 	c.adoptConfig(m.Message.Config)
 	c.setPeers(m.Message.Peers)
 	if m.Message.ConfigWanted {
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -109,6 +109,11 @@
 // StopTask stops a task at the endpoint before it has ended. TaskExited follows.
 type StopTask struct{ Grant structs.GrantID }
 
+// BoundRuns reports the time by which every run at the endpoint must have ended unless a
+// later BoundRuns extends it, whatever becomes of the agent. The zero time means that
+// there is none.
+type BoundRuns struct{ At time.Time }
+
 // LogEvent reports an event for the log.
 type LogEvent struct {
 	Event event.ID
@@ -139,6 +144,7 @@
 func (*Send) isEffect()        {}
 func (*StartTask) isEffect()   {}
 func (*StopTask) isEffect()    {}
+func (*BoundRuns) isEffect()   {}
 func (*LogEvent) isEffect()    {}
 func (*FindEntries) isEffect() {}
 func (*Drained) isEffect()     {}
--- a/internal/agent/one_run_at_a_time_test.go
+++ b/internal/agent/one_run_at_a_time_test.go
@@ -30,6 +30,9 @@
 	// clientRepeatDelay is the least time after which a client that got no answer
 	// sends its job again.
 	clientRepeatDelay = 1300 * time.Millisecond
+	// maxUnheard is the time after the entry's last confirmation by which the lease of
+	// its runs has expired.
+	maxUnheard = clientRepeatDelay - 100*time.Millisecond
 	// maxStopTime bounds the time that a worker takes to stop a run, and
 	// maxUnansweredStopTime that of a worker that answers no stop: the lease is not
 	// extended any more.
@@ -118,6 +121,8 @@
 	// the runs that ended meanwhile.
 	still bool
 	ended []*overlapRun
+	// bound is when the lease of the runs expires at the latest; zero means no bound.
+	bound time.Time
 	// unreachable is set if the agent can open no more connections.
 	unreachable bool
 }
@@ -173,7 +178,7 @@
 	a.core = agent.New(agent.Options{
 		Endpoint: name, Incarnation: incarnation, Pool: "p", Slots: 4, Divided: true,
 		Capacity: structs.Needs{Millicores: 400}, Entries: seeds, Clock: a.clock, Seed: uint64(incarnation),
-		Tuning: agent.Tuning{SilenceTimeout: 450 * time.Millisecond, EntryGrace: 300 * time.Millisecond, MaxRetryDelay: 200 * time.Millisecond, PauseThreshold: 400 * time.Millisecond},
+		Tuning: agent.Tuning{SilenceTimeout: 450 * time.Millisecond, EntryGrace: 300 * time.Millisecond, MaxRetryDelay: 200 * time.Millisecond, PauseThreshold: 400 * time.Millisecond, MaxUnheard: maxUnheard},
 	})
 	a.core.Step(sim.now, &agent.EndpointChanged{Up: true})
 	return a
@@ -390,6 +395,8 @@
 			}
 		case *agent.StartTask:
 			a.startRun(m.Grant)
+		case *agent.BoundRuns:
+			a.bound = m.At
 		case *agent.StopTask:
 			a.stopRun(m.Grant)
 		case *agent.LogEvent:
@@ -463,6 +470,9 @@
 
 func (a *overlapAgent) endRuns() {
 	for _, r := range slices.Clone(a.runs) {
+		if !a.bound.IsZero() && a.bound.Before(r.endsAt) && !a.sim.now.Before(a.bound) {
+			r.endsAt, r.outcome = a.bound, structs.Lost // no lease was granted beyond the bound
+		}
 		if r.endsAt.After(a.sim.now) {
 			continue
 		}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -31,7 +31,9 @@
 	late      bool
 	queuedAt  time.Time
 	startedAt time.Time
-	result    structs.Result
+	// endBy is when an orphaned run must have ended.
+	endBy  time.Time
+	result structs.Result
 }
 
 func (c *Core) fireRun(r *run, e chart.Event) {
@@ -69,6 +71,7 @@
 	for _, s := range r.slots {
 		c.fireSlot(s, start, r)
 	}
+	c.boundRuns(r)
 	c.emit(&StartTask{Grant: r.grant})
 	r.grant.Payload = nil
 }
@@ -187,6 +190,7 @@
 
 func (c *Core) abandonRuns(l *link) {
 	for _, r := range c.runsOfEntry(l) {
+		r.endBy = c.endBy(l)
 		c.fireRun(r, runEvents.EntryGone)
 	}
 }
--- a/internal/agentd/core.go
+++ b/internal/agentd/core.go
@@ -83,7 +83,9 @@
 	linksToClose map[agent.LinkID]bool
 	// droppedStops lists the stop requests to retry because the inbox of the runner
 	// was full.
-	droppedStops    []stopTask
+	droppedStops []stopTask
+	// droppedBound is the bound of the runs to pass on for the same reason, or nil.
+	droppedBound    *boundRuns
 	suspendDetector *pause.Detector
 	// findRegistered returns the registered entries; it may be nil. It runs under
 	// ctx.
@@ -171,6 +173,8 @@
 		c.start(e)
 	case *agent.StopTask:
 		c.stop(stopTask{grant: e.Grant})
+	case *agent.BoundRuns:
+		c.bound(boundRuns{at: e.At})
 	case *agent.FindEntries:
 		c.findEntries()
 	case *agent.LogEvent:
@@ -213,6 +217,15 @@
 	c.deferredInputs = append(c.deferredInputs, exited)
 }
 
+// bound passes the bound of the runs to the runner, or keeps it for the next tick if the
+// inbox is full.
+func (c *core) bound(m boundRuns) {
+	c.droppedBound = nil
+	if !c.runner.TrySend(&m) {
+		c.droppedBound = &m
+	}
+}
+
 // stop passes a stop request to the runner, or keeps it for the next tick if the
 // inbox is full.
 func (c *core) stop(m stopTask) {
@@ -261,6 +274,9 @@
 			delete(c.linksToClose, link)
 		}
 	}
+	if c.droppedBound != nil {
+		c.bound(*c.droppedBound)
+	}
 	dropped := c.droppedStops
 	c.droppedStops = nil
 	for _, m := range dropped {
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -65,6 +65,10 @@
 	// ConfirmTimeout is how old the newest message that the entry has confirmed may
 	// be before the link is closed; zero means the default of agent.Tuning.
 	ConfirmTimeout time.Duration
+	// MaxUnheard is the longest time that a run may go on after the newest message that
+	// its entry has confirmed, whatever fails; zero means no limit. Only workers that run
+	// tasks under a lease keep to it.
+	MaxUnheard time.Duration
 	// DialTimeout is the timeout for opening a connection. A machine that is
 	// powered off does not answer, and a lost SYN packet is retransmitted only
 	// after a second.
--- a/internal/agentd/leased_runner.go
+++ b/internal/agentd/leased_runner.go
@@ -72,6 +72,8 @@
 		r.decisions.Step(now, &leased.Start{Grant: m.grant})
 	case *stopTask:
 		r.decisions.Step(now, &leased.Stop{Grant: m.grant})
+	case *boundRuns:
+		r.decisions.Step(now, &leased.Bound{At: m.at})
 	case *callReturned:
 		r.counters.callAnswered(m.message)
 		r.decisions.Step(now, m.message)
--- a/internal/agentd/runner.go
+++ b/internal/agentd/runner.go
@@ -24,6 +24,8 @@
 type (
 	startTask struct{ grant structs.Grant }
 	stopTask  struct{ grant structs.GrantID }
+	// boundRuns is for workers that run tasks under a lease; others ignore it.
+	boundRuns struct{ at time.Time }
 	// exchangeEnded reports the end of a task and returns its connection, if that
 	// can be reused.
 	exchangeEnded struct {
@@ -34,6 +36,7 @@
 
 func (*startTask) isRunnerInput()     {}
 func (*stopTask) isRunnerInput()      {}
+func (*boundRuns) isRunnerInput()     {}
 func (*exchangeEnded) isRunnerInput() {}
 
 // runner is the actor that starts and stops tasks at the endpoint. Each started
--- a/internal/leased/core.go
+++ b/internal/leased/core.go
@@ -88,6 +88,8 @@
 	// leaseExpiresAt is when all runs on the worker will have ended if it
 	// receives no renewals beyond those sent so far.
 	leaseExpiresAt time.Time
+	// bound is the time by which runs must have ended; zero means none.
+	bound time.Time
 	// answeredAt is when the worker last answered a poll.
 	answeredAt time.Time
 	// processGoneAt is when a poll last showed that the process that had been there is
@@ -140,6 +142,8 @@
 		if r := c.runs[m.Grant]; r != nil {
 			c.fireRun(r, runEvents.Stop)
 		}
+	case *Bound:
+		c.bound = m.At
 	case *StartAnswered:
 		c.handleStartAnswered(m)
 	case *StopAnswered:
@@ -237,9 +241,13 @@
 
 // longestLease returns the longest lease that may begin now. The lease holds for all
 // runs on the worker, so it must expire soon after the stop of one of them was first
-// requested, unless the end of that run is known.
+// requested, unless the end of that run is known, and by the bound of all runs.
 func (c *Core) longestLease() time.Duration {
 	longest := c.timing.Lease
+	if !c.bound.IsZero() {
+		left := c.bound.Sub(c.now) - expiryMargin - c.maxDrift(c.now.Sub(c.workerClockAt))
+		longest = min(longest, time.Duration(float64(left)/(1+maxClockDrift)))
+	}
 	limitFrom := func(stopRequestedAt time.Time) {
 		if !stopRequestedAt.IsZero() {
 			longest = min(longest, stopPatience+c.timing.Lease-c.now.Sub(stopRequestedAt))
--- a/internal/leased/core_test.go
+++ b/internal/leased/core_test.go
@@ -325,6 +325,32 @@
 	h.Fail() // the lease was renewed all the while
 }
 
+// The entry of a run may have ended, and its client sends the job again after a known
+// time. By then the run must be gone, also if neither a poll nor a stop reaches the
+// worker any more.
+func TestLeaseEndsByTheBoundOfTheRuns(t *testing.T) {
+	h := newHeldHarness(t)
+	h.step(&StartAnswered{Run: h.requestStart(1), Result: Done})
+	bound := h.now.Add(500 * time.Millisecond)
+	h.step(&Bound{At: bound})
+	h.core.leaseExpiresAt = h.now
+	for range 100 {
+		h.tick(10 * time.Millisecond)
+		h.True(!h.core.leaseExpiresAt.After(bound))
+		if h.core.pollsInFlight > 0 {
+			h.answerPoll(Done, Report{Running: []RunID{{Task: grant(1).Name, Number: 1}}})
+		}
+	}
+	h.Equal(lastEffect[*RunsLost](h).Runs, 1)
+	h.step(&Start{Grant: grant(2)})
+	h.Equal(lastEffect[*Exited](h).Outcome, structs.NotSent) // no lease is left to start it under
+	h.step(&Bound{})
+	h.tick(10 * time.Millisecond)
+	h.answerPoll(Done, Report{})
+	h.requestStart(3)
+	h.True(h.core.leaseExpiresAt.Sub(h.now) > defaultLease)
+}
+
 func TestPollsOverlapWhileRunsAreActive(t *testing.T) {
 	h := newHeldHarness(t)
 	run := h.requestStart(1)
--- a/internal/leased/messages.go
+++ b/internal/leased/messages.go
@@ -33,6 +33,10 @@
 // Stop requests that the run of a grant be stopped.
 type Stop struct{ Grant structs.GrantID }
 
+// Bound sets the time by which every run on the worker must have ended unless a later
+// Bound extends it. The zero time means that there is none.
+type Bound struct{ At time.Time }
+
 // StartAnswered carries the result of a SendStart.
 type StartAnswered struct {
 	Run    RunID
@@ -55,6 +59,7 @@
 
 func (*Start) isMessage()         {}
 func (*Stop) isMessage()          {}
+func (*Bound) isMessage()         {}
 func (*StartAnswered) isMessage() {}
 func (*StopAnswered) isMessage()  {}
 func (*PollAnswered) isMessage()  {}
