--- a/cmd/cactuspost-node/agent.go
+++ b/cmd/cactuspost-node/agent.go
@@ -66,7 +66,7 @@
 		Worker:      platform.NewWorker(p.WorkerAddress, a.Worker),
 		Born:        a.Born,
 		Lease:       leased.Timing{Lease: s.Lease, MaxLease: p.MaxLease, PollWait: s.PollWait},
-		Timing:      agentd.Timing{HeartbeatInterval: s.Heartbeat, SilenceTimeout: s.EntrySilence, EntryGrace: s.EntryGrace, PauseThreshold: s.Pause, DialTimeout: s.Dial, MaxRetryDelay: s.Redial, MaxUnheard: max(0, p.Resend-resendMargin)},
+		Timing:      agentd.Timing{HeartbeatInterval: s.Heartbeat, SilenceTimeout: s.EntrySilence, EntryGrace: s.EntryGrace, PauseThreshold: s.Pause, DialTimeout: s.Dial, MaxRetryDelay: s.Redial, IdleHeartbeat: s.IdleHeartbeat, IdleSilenceTimeout: s.IdleSilence(), MaxUnheard: max(0, p.Resend-resendMargin)},
 		FindEntries: findEntries,
 		Log:         n.log,
 	}
--- a/cmd/cactuspost-node/entry.go
+++ b/cmd/cactuspost-node/entry.go
@@ -85,9 +85,9 @@
 		LinkAddress: p.ControlAddress,
 		Limits:      operatorLimits,
 		Settle:      s.Settle, DrainTimeout: s.DrainTimeout,
-		Heartbeat: s.Heartbeat, SilentBeats: s.SilentBeats,
+		Heartbeat: s.Heartbeat, SilentBeats: s.SilentBeats, IdleHeartbeat: s.IdleHeartbeat,
 		NewCore: func(self structs.Peer, seed uint64) entryd.Core {
-			return dispatch.New(dispatch.Options{Self: self, Seed: seed, Tuning: dispatchTuning(s)})
+			return dispatch.New(dispatch.Options{Self: self, Seed: seed, Tuning: dispatchTuning(s), Paced: true})
 		},
 		NewIngress: func(g *entryd.Gateway) (entryd.Ingress, error) { return platform.StartFrontend(p, g, n.log) },
 		Log:        n.log,
--- a/internal/agent/charts.go
+++ b/internal/agent/charts.go
@@ -113,8 +113,9 @@
 func compileRunChart() *chart.Machine[runContext] {
 	return chart.MustCompile(charts.Files, "run", chart.Bindings[runContext]{
 		Guards: map[string]func(runContext) bool{
-			"may_start": func(c runContext) bool { return c.run.slots != nil },
-			"may_wait":  func(c runContext) bool { return c.core.mayWait(c.run) },
+			"unconfirmed": func(c runContext) bool { return c.run.unconfirmed },
+			"may_start":   func(c runContext) bool { return c.run.slots != nil },
+			"may_wait":    func(c runContext) bool { return c.core.mayWait(c.run) },
 		},
 		Actions: map[string]func(runContext){
 			"enqueue":         func(c runContext) { c.core.queue = append(c.core.queue, c.run) },
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -57,6 +57,12 @@
 	// SilenceTimeout and EntryGrace together, or than ConfirmTimeout and
 	// reconnectTime, whichever is longer.
 	EntryGrace time.Duration
+	// IdleHeartbeat is the longest time between two messages to an entry that has no
+	// open grant at the agent; zero means that heartbeats are sent to all entries
+	// alike. IdleSilenceTimeout takes the place of SilenceTimeout and ConfirmTimeout
+	// on such a link.
+	IdleHeartbeat      time.Duration
+	IdleSilenceTimeout time.Duration
 	// MaxUnheard is the longest time that a run may go on after the newest message that
 	// its entry has confirmed, whatever fails; zero means that BoundRuns is not used.
 	MaxUnheard time.Duration
@@ -76,6 +82,10 @@
 // nothing for ConfirmTimeout, before its runs are abandoned.
 const reconnectTime = 100 * time.Millisecond
 
+// confirmExchange is the time left for an entry to confirm a message of the agent after
+// it has sent a grant on an idle link: a tick of each side and a slow round trip.
+const confirmExchange = 250 * time.Millisecond
+
 // defaultUnackedLimit is the default of Options.UnackedLimit.
 const defaultUnackedLimit = 4096
 
@@ -192,7 +202,7 @@
 	c.detectPause(now)
 	for _, l := range c.links {
 		c.tickLink(l)
-		c.reportIdleCredits(l)
+		c.reportIdleSlots(l)
 	}
 	c.removeForgottenLinks()
 	c.findEntries()
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -33,6 +33,10 @@
 	// session is the first connection since which the agent has kept every grant
 	// of the entry. Zero means that the next connection begins a new session.
 	session LinkID
+	// paced is set if the entry sends heartbeats less often while openGrants is zero.
+	paced bool
+	// openGrants counts the entry's grants that are queued or run here.
+	openGrants int
 	// established is set from the welcome to the end of the connection.
 	established bool
 	// released is set once the entry has reported that it holds no grant at the
@@ -128,9 +132,10 @@
 
 // silenceDetail says how old the signs of life of the entry are.
 func (c *Core) silenceDetail(l *link) string {
-	detail := fmt.Sprintf("received %d ms ago, limit %d ms", c.now.Sub(l.lastReceivedAt).Milliseconds(), c.tuning.SilenceTimeout.Milliseconds())
+	received, confirmed := c.silenceLimits(l)
+	detail := fmt.Sprintf("received %d ms ago, limit %d ms", c.now.Sub(l.lastReceivedAt).Milliseconds(), received.Milliseconds())
 	if !l.confirmedAt.IsZero() {
-		detail += fmt.Sprintf("; confirmed %d ms ago, limit %d ms", c.now.Sub(l.confirmedAt).Milliseconds(), c.tuning.ConfirmTimeout.Milliseconds())
+		detail += fmt.Sprintf("; confirmed %d ms ago, limit %d ms", c.now.Sub(l.confirmedAt).Milliseconds(), confirmed.Milliseconds())
 	}
 	return detail
 }
@@ -140,10 +145,32 @@
 // agent sends. The latter may have been under way since before the entry closed the
 // link, and the entry then runs the tasks elsewhere.
 func (c *Core) linkSilent(l *link) bool {
-	if c.now.Sub(l.lastReceivedAt) > c.tuning.SilenceTimeout {
+	received, confirmed := c.silenceLimits(l)
+	if c.now.Sub(l.lastReceivedAt) > received {
 		return true
 	}
-	return !l.confirmedAt.IsZero() && c.now.Sub(l.confirmedAt) > c.tuning.ConfirmTimeout
+	return !l.confirmedAt.IsZero() && c.now.Sub(l.confirmedAt) > confirmed
+}
+
+// silenceLimits returns how old the last message of the entry and its newest
+// confirmation may be. Nothing can outlive the entry on a link without open grants, so
+// the entry is given more time there.
+func (c *Core) silenceLimits(l *link) (received, confirmed time.Duration) {
+	if l.idle() {
+		return c.tuning.IdleSilenceTimeout, c.tuning.IdleSilenceTimeout
+	}
+	return c.tuning.SilenceTimeout, c.tuning.ConfirmTimeout
+}
+
+// idle reports whether both sides send heartbeats at the slower pace on the link.
+func (l *link) idle() bool { return l.paced && l.openGrants == 0 }
+
+// confirmedRecently reports whether a grant that has just arrived may be accepted. The
+// entry had read the newest confirmed message before it sent the grant, so the age of
+// the confirmation bounds the age of the grant. On an idle link the rest of
+// ConfirmTimeout has to suffice for the next confirmation.
+func (c *Core) confirmedRecently(l *link) bool {
+	return !l.idle() || l.confirmedAt.IsZero() || c.now.Sub(l.confirmedAt) <= c.tuning.ConfirmTimeout-confirmExchange
 }
 
 // mayStart reports whether grants of the link's entry may be started.
@@ -204,6 +231,7 @@
 	c.lastLinkID++
 	l.id = c.lastLinkID
 	l.confirmedAt = time.Time{}
+	l.paced = false
 	if l.session == 0 {
 		l.session = l.id
 	}
@@ -254,6 +282,7 @@
 	hello := &structs.Hello{
 		Endpoint: c.opts.Endpoint, Incarnation: c.opts.Incarnation, Connection: uint64(l.id), Session: uint64(l.session), Pool: c.opts.Pool, DataCentre: c.opts.DataCentre,
 		Slots: uint32(c.opts.Slots), Capacity: c.opts.Capacity, Divided: c.opts.Divided, Leaving: c.leaving(),
+		Paced: c.tuning.IdleHeartbeat > 0,
 	}
 	for _, r := range c.sortedRuns() {
 		hello.Held = append(hello.Held, r.grant.ID)
@@ -306,6 +335,7 @@
 func (c *Core) handleWelcome(l *link, w *structs.Welcome) {
 	l.welcomedIncarnation = w.Entry.Incarnation
 	l.entryLeaving = false
+	l.paced = w.Paced && c.tuning.IdleHeartbeat > 0
 	l.established = true
 	l.released = false
 	if l.incarnation != 0 && l.incarnation != l.welcomedIncarnation {
@@ -335,7 +365,7 @@
 		kept.session = l.session
 		for _, r := range c.runs {
 			if r.link == dropped {
-				r.link = kept
+				r.moveTo(kept)
 			}
 		}
 		c.dropLink(dropped)
@@ -423,22 +453,27 @@
 
 const (
 	// idleReportInterval is the least time between a message and the next one that
-	// only reports idle credits. It equals the heartbeat interval, since each of
+	// only reports idle slots. It equals the heartbeat interval, since each of
 	// these messages replaces a heartbeat.
 	idleReportInterval = 150 * time.Millisecond
-	// idleReportThreshold is the change of the idle credits, as a share of all
+	// idleReportThreshold is the change of the idle slots, as a share of all
 	// slots, above which they are reported.
 	idleReportThreshold = 0.05
 )
 
-// reportIdleCredits prepares a message to an entry if the number of idle credits
-// has changed enough: the entry uses the number to place queued grants, which use
-// no credit. Only divided slots need this: with others every grant uses a credit.
-func (c *Core) reportIdleCredits(l *link) {
-	if !c.opts.Divided || l.outgoing != nil || l.state != linkStates.Up || c.now.Sub(l.reportedAt) < idleReportInterval {
+// reportIdleSlots prepares a message to an entry if the number of idle slots has
+// changed enough: the entry uses the number to place queued grants, which use no
+// credit. Only divided slots need this: with others every grant uses a credit. On an
+// idle link, too, each of these messages replaces a heartbeat.
+func (c *Core) reportIdleSlots(l *link) {
+	interval := idleReportInterval
+	if l.idle() {
+		interval = c.tuning.IdleHeartbeat
+	}
+	if !c.opts.Divided || l.outgoing != nil || l.state != linkStates.Up || c.now.Sub(l.reportedAt) < interval {
 		return
 	}
-	difference := int(c.idleCreditsElsewhere(l)) - int(l.reportedIdle)
+	difference := int(c.idleSlots(l)) - int(l.reportedIdle)
 	if math.Abs(float64(difference)) > idleReportThreshold*float64(len(c.slots)) {
 		l.outgoingMessage()
 	}
@@ -450,16 +485,19 @@
 	if l.outgoing == nil || (l.state != linkStates.Up && l.state != linkStates.Greeting) {
 		return
 	}
-	l.outgoing.Idle = c.idleCreditsElsewhere(l)
+	l.outgoing.Idle = c.idleSlots(l)
+	l.outgoing.Waiting = c.slotsWaiting()
+	l.outgoing.Busy = !l.idle()
 	l.reportedIdle = l.outgoing.Idle
 	l.reportedAt = c.now
 	c.emit(&Send{Link: l.id, Message: l.outgoing})
 	l.outgoing = nil
 }
 
-// idleCreditsElsewhere counts the credits that other entries without demand leave
-// idle. They may be revoked for a grant of the given entry.
-func (c *Core) idleCreditsElsewhere(l *link) uint32 {
+// idleSlots counts the slots that a grant of the given entry could take without a
+// credit: the credits that other entries without demand leave idle, which may be
+// revoked for it.
+func (c *Core) idleSlots(l *link) uint32 {
 	idle := uint32(0)
 	for _, s := range c.slots {
 		if s.link != l && c.creditUnused(s) {
@@ -469,4 +507,13 @@
 	return idle
 }
 
+// slotsWaiting counts the slots that the queued grants need.
+func (c *Core) slotsWaiting() uint32 {
+	slots := 0
+	for _, r := range c.queue {
+		slots += r.grant.Credits()
+	}
+	return uint32(slots)
+}
+
 func (l *link) totalDemand() uint32 { return l.demand.Short + l.demand.Long }
--- a/internal/agent/one_run_at_a_time_test.go
+++ b/internal/agent/one_run_at_a_time_test.go
@@ -24,6 +24,13 @@
 	entrySilence = 2 * overlapHeartbeat
 	// agentGrace is the time after which an entry repeats the tasks of a lost agent.
 	agentGrace = 1500 * time.Millisecond
+	// agentIdleBeats and entryIdleBeats are the numbers of heartbeat intervals between the
+	// heartbeats of the two sides on a link without open grants, and idleEntrySilence the
+	// least time without a message after which an entry closes such a link. An agent sends
+	// a heartbeat only at its next tick, so its interval is rounded up.
+	agentIdleBeats   = 5
+	entryIdleBeats   = 12
+	idleEntrySilence = 1200 * time.Millisecond
 	// trickleInterval is the time between two messages on a slow connection, which
 	// is longer than that between heartbeats.
 	trickleInterval = 200 * time.Millisecond
@@ -57,6 +64,8 @@
 	// standstills lets agents stand still, and unansweredStops workers leave stops
 	// unanswered.
 	standstills, unansweredStops bool
+	// paced lets fewer heartbeats be sent on links without open grants.
+	paced bool
 }
 
 // overlapSimulation connects the cores of two entries and two agents that have the
@@ -141,10 +150,15 @@
 	// knows of the end.
 	entryClosed, agentClosed bool
 	// cut means that nothing passes any more, not even the end.
-	cut                              bool
-	entryStalledUntil, stalledUntil  time.Time
-	trickle                          bool
-	seen                             structs.Stamp
+	cut                             bool
+	entryStalledUntil, stalledUntil time.Time
+	trickle                         bool
+	seen                            structs.Stamp
+	// entryBusy and agentBusy are set while the side counts a grant on the link as open.
+	// The entry confirms the next message at once if confirmNext is set.
+	entryBusy, agentBusy, confirmNext bool
+	// beats counts the heartbeat intervals.
+	beats                            int
 	entryReceivedAt, agentReceivedAt time.Time
 }
 
@@ -178,7 +192,8 @@
 	a.core = agent.New(agent.Options{
 		Endpoint: name, Incarnation: incarnation, Pool: "p", Slots: 4, Divided: true,
 		Capacity: structs.Needs{Millicores: 400}, Entries: seeds, Clock: a.clock, Seed: uint64(incarnation),
-		Tuning: agent.Tuning{SilenceTimeout: 450 * time.Millisecond, EntryGrace: 300 * time.Millisecond, MaxRetryDelay: 200 * time.Millisecond, PauseThreshold: 400 * time.Millisecond, MaxUnheard: maxUnheard},
+		Tuning: agent.Tuning{SilenceTimeout: 450 * time.Millisecond, EntryGrace: 300 * time.Millisecond, MaxRetryDelay: 200 * time.Millisecond, PauseThreshold: 400 * time.Millisecond,
+			IdleHeartbeat: 600 * time.Millisecond, IdleSilenceTimeout: 5400 * time.Millisecond, MaxUnheard: maxUnheard},
 	})
 	a.core.Step(sim.now, &agent.EndpointChanged{Up: true})
 	return a
@@ -195,6 +210,7 @@
 	e.core = dispatch.New(dispatch.Options{
 		Self: structs.Peer{Incarnation: e.incarnation, LinkAddress: e.address}, Seed: 1,
 		Tuning: dispatch.Tuning{AgentGrace: agentGrace, QueueDepth: 2, LongTaskThreshold: time.Hour},
+		Paced:  e.sim.faults.paced,
 	})
 	e.core.Step(e.sim.now, &dispatch.Configure{Document: &structs.Document{
 		Revision: 1, Services: map[string]structs.Service{"s": service},
@@ -255,22 +271,29 @@
 
 func (sim *overlapSimulation) sendHeartbeats() {
 	for _, c := range sim.conns {
-		if !c.entry.paused && !c.entryClosed {
+		c.beats++
+		if !c.entry.paused && !c.entryClosed && (c.entryBusy || c.beats%entryIdleBeats == 0) {
 			c.sendToAgent(&structs.FromEntry{Heartbeat: true})
 		}
-		if !c.agentClosed && !c.agent.still {
-			c.sendToEntry(&structs.FromAgent{Heartbeat: true})
+		if !c.agentClosed && !c.agent.still && (c.agentBusy || c.beats%agentIdleBeats == 0) {
+			c.sendToEntry(&structs.FromAgent{Heartbeat: true, Busy: c.agentBusy})
 		}
 	}
 }
 
 func (c *overlapConn) sendToAgent(m *structs.FromEntry) {
+	if len(m.Grants) > 0 && !c.entryBusy {
+		c.entryBusy = true
+		c.confirmNext = true
+		c.entryReceivedAt = c.entry.sim.now // it counts the silence from here on
+	}
 	m.Seen = c.seen
 	c.toAgent = append(c.toAgent, m)
 }
 
 func (c *overlapConn) sendToEntry(m *structs.FromAgent) {
 	m.Sent = c.agent.clock.Stamp(c.agent.sim.now)
+	c.agentBusy = m.Busy
 	c.toEntry = append(c.toEntry, m)
 }
 
@@ -282,7 +305,11 @@
 		c.deliverToAgent()
 		c.deliverToEntry()
 	}
-	if !c.entryClosed && !c.entry.paused && c.entry.sim.now.Sub(c.entryReceivedAt) > entrySilence {
+	silence := entrySilence
+	if !c.entryBusy {
+		silence = idleEntrySilence
+	}
+	if !c.entryClosed && !c.entry.paused && c.entry.sim.now.Sub(c.entryReceivedAt) > silence {
 		c.closeEntrySide()
 	}
 }
@@ -313,8 +340,14 @@
 		return
 	}
 	for _, m := range c.toEntry {
-		c.entryReceivedAt = now
 		c.seen = m.Sent
+		if m.Busy || !c.entryBusy || !m.Heartbeat {
+			c.entryReceivedAt = now
+		}
+		if c.confirmNext {
+			c.confirmNext = false
+			c.sendToAgent(&structs.FromEntry{Heartbeat: true})
+		}
 		if !m.Heartbeat { // an unchanged heartbeat does not reach the core
 			c.entry.inbox = append(c.entry.inbox, &dispatch.AgentMessage{Link: c.entryLink, Message: m})
 		}
@@ -356,6 +389,10 @@
 			if c := e.findConn(m.Link); c != nil {
 				c.closeEntrySide()
 			}
+		case *dispatch.RelaxLink:
+			if c := e.findConn(m.Link); c != nil {
+				c.entryBusy = false
+			}
 		case *dispatch.Answered:
 			e.sim.endRequest(m.Reply, m.Answer.State == structs.JobComplete)
 		case *dispatch.Refused:
@@ -427,7 +464,7 @@
 		sim.lastLink++
 		sim.conns = append(sim.conns, &overlapConn{
 			entry: e, incarnation: e.incarnation, agent: a,
-			agentLink: m.Link, entryLink: sim.lastLink, entryReceivedAt: sim.now,
+			agentLink: m.Link, entryLink: sim.lastLink, entryReceivedAt: sim.now, entryBusy: true, agentBusy: true,
 		})
 	}
 	a.step(&agent.LinkOpened{Link: m.Link})
@@ -676,6 +713,14 @@
 		"slow connections":       {restarts: true, trickles: true},
 		"agents stand still":     {standstills: true},
 		"stops unanswered":       {unansweredStops: true, standstills: true},
+
+		"paced, same entries":           {paced: true},
+		"paced, entries restart":        {paced: true, restarts: true},
+		"paced, entries with two names": {paced: true, aliases: true},
+		"paced, entries fall behind":    {paced: true, restarts: true, backlogs: true},
+		"paced, slow connections":       {paced: true, restarts: true, trickles: true},
+		"paced, agents stand still":     {paced: true, standstills: true},
+		"paced, stops unanswered":       {paced: true, unansweredStops: true, standstills: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
@@ -738,6 +783,23 @@
 	breakLinks(t, overlapFaults{unansweredStops: true}, func(*overlapSimulation, *overlapAgent) {})
 }
 
+// The link was idle before the task, so the newest confirmation is old when the grant
+// arrives, and the entry counts the silence from the grant.
+func TestRunOnALinkThatWasIdleEndsBeforeItsTaskIsRepeated(t *testing.T) {
+	t.Run("standstill", func(t *testing.T) {
+		breakLinks(t, overlapFaults{paced: true, standstills: true}, func(sim *overlapSimulation, a *overlapAgent) {
+			sim.advance(time.Duration(rapid.IntRange(0, 80).Draw(sim.t, "until the standstill")) * overlapTick)
+			a.toggleStandstill()
+		})
+	})
+	t.Run("unanswered stop", func(t *testing.T) {
+		breakLinks(t, overlapFaults{paced: true, unansweredStops: true}, func(*overlapSimulation, *overlapAgent) {})
+	})
+	t.Run("entry ended", func(t *testing.T) {
+		loseEntry(t, overlapFaults{paced: true, standstills: true}, false)
+	})
+}
+
 // breakLinks breaks the link of an agent that runs tasks for good, noticed by both ends
 // or by neither, and then lets something else happen.
 func breakLinks(t *testing.T, faults overlapFaults, after func(*overlapSimulation, *overlapAgent)) {
--- /dev/null
+++ b/internal/agent/pace_test.go
@@ -0,0 +1,96 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"cactuspost.example/internal/structs"
+)
+
+// newPacedHarness returns a harness with the times of the users' platform whose entries
+// send fewer heartbeats on idle links. Entry 0 has just confirmed a message.
+func newPacedHarness(t *testing.T) *harness {
+	h := newConfirmingHarness(t)
+	h.core.tuning.IdleHeartbeat = 300 * time.Millisecond
+	h.core.tuning.IdleSilenceTimeout = 2700 * time.Millisecond
+	for _, l := range h.core.links {
+		l.paced = true
+	}
+	return h
+}
+
+func (h *harness) advanceTo(at time.Time) {
+	for h.now.Before(at) {
+		h.advance(10 * time.Millisecond)
+	}
+}
+
+func TestIdleLinkIsClosedAfterALongerSilence(t *testing.T) {
+	h := newPacedHarness(t)
+	last := h.now
+	h.advanceTo(last.Add(2700 * time.Millisecond))
+	h.Equal(h.core.links[0].state, linkStates.Up)
+	h.advance(10 * time.Millisecond)
+	h.Equal(h.core.links[0].state, linkStates.Waiting)
+}
+
+func TestLinkWithOpenGrantsIsClosedAfterAShortSilence(t *testing.T) {
+	h := newPacedHarness(t)
+	last := h.now
+	h.sendQueuedGrant(0, 1, 4, time.Second)
+	h.advanceTo(last.Add(450 * time.Millisecond))
+	h.Equal(h.core.links[0].state, linkStates.Up)
+	h.advance(10 * time.Millisecond)
+	h.Equal(h.core.links[0].state, linkStates.Waiting)
+}
+
+// The entry may have sent the grant at any time since it read the newest confirmed
+// message, and may have given the agent up by now.
+func TestGrantOnAnIdleLinkIsRefusedIfTheConfirmationIsOld(t *testing.T) {
+	h := newPacedHarness(t)
+	confirmedAt := h.now
+	h.now = confirmedAt.Add(500 * time.Millisecond)
+	h.sendQueuedGrant(0, 1, 4, time.Second)
+	h.Equal(h.startedJobs(), []uint64{1})
+	h.core.links[0].openGrants = 0 // as if the run had ended
+	h.now = confirmedAt.Add(510 * time.Millisecond)
+	h.effects = nil
+	late := h.sendQueuedGrant(0, 2, 4, time.Second)
+	h.Equal(len(h.startedJobs()), 0)
+	h.Equal(h.sent(0)[0].Refusals, []structs.Refusal{{Grant: late, Reason: structs.Unconfirmed}})
+	h.Equal(h.core.links[0].state, linkStates.Up)
+	h.confirm(h.now)
+	h.sendQueuedGrant(0, 3, 4, time.Second)
+	h.Equal(h.startedJobs(), []uint64{3})
+}
+
+func TestMessagesSayWhetherGrantsAreOpen(t *testing.T) {
+	h := newPacedHarness(t)
+	h.sent(0)
+	id := h.sendQueuedGrant(0, 1, 4, time.Second)
+	busy := func() bool {
+		messages := h.sent(0)
+		return messages[len(messages)-1].Busy
+	}
+	h.True(busy())
+	h.step(&TaskExited{Grant: id, Outcome: structs.Succeeded})
+	h.True(!busy())
+	h.core.links[0].paced = false
+	h.sendQueuedGrant(0, 2, 100, time.Second) // too large: refused
+	h.True(busy())                            // the entry knows of no other pace
+}
+
+func TestOpenGrantsFollowTheirRuns(t *testing.T) {
+	h := newPacedHarness(t)
+	first := h.sendQueuedGrant(0, 1, 20, time.Second)
+	h.sendQueuedGrant(0, 2, 20, time.Second)
+	h.Equal(h.core.links[0].openGrants, 2) // one runs, one is queued
+	h.step(&EntryMessage{Link: h.links[0], Message: &structs.FromEntry{Cancels: []structs.GrantID{first}}})
+	h.Equal(h.core.links[0].openGrants, 2) // the stop has not ended the run yet
+	h.step(&TaskExited{Grant: first, Outcome: structs.Stopped})
+	h.Equal(h.core.links[0].openGrants, 1)
+	h.step(&EndpointChanged{Up: false})
+	h.step(&LinkClosed{Link: h.links[0]})
+	h.advanceTo(h.now.Add(time.Second))
+	h.Equal(h.core.links[0].openGrants, 0) // the run is orphaned
+}
--- a/internal/agent/queue_test.go
+++ b/internal/agent/queue_test.go
@@ -195,6 +195,17 @@
 	return jobs
 }
 
+// sent returns the messages to an entry since the last call and drops all effects.
+func (h *harness) sent(entry int) (messages []*structs.FromAgent) {
+	for _, e := range h.effects {
+		if send, ok := e.(*Send); ok && send.Link == h.links[entry] {
+			messages = append(messages, send.Message)
+		}
+	}
+	h.effects = nil
+	return messages
+}
+
 func TestIdleCreditsAreRevokedForAQueuedGrant(t *testing.T) {
 	h := newHarness(t)
 	h.advance(2 * minIdleAge) // the ten credits of each entry are idle
@@ -239,7 +250,7 @@
 	h.Equal(len(reports(1)), 0) // nothing has changed
 	h.sendQueuedGrant(0, 1, 8, time.Second)
 	h.advance(idleReportInterval)
-	remaining := h.core.idleCreditsElsewhere(h.core.links[1])
+	remaining := h.core.idleSlots(h.core.links[1])
 	h.True(remaining < 10) // the other entry held ten idle credits before
 	h.Equal(reports(1), []uint32{remaining})
 }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -25,6 +25,9 @@
 	// this was for lack of capacity there.
 	notSent      bool
 	endpointFull bool
+	// unconfirmed is set if the grant arrived on a link whose newest confirmation was
+	// too old.
+	unconfirmed bool
 	// startBy is the latest start time that meets the objective of a queued run;
 	// late is set if it had passed on arrival.
 	startBy   time.Time
@@ -37,19 +40,41 @@
 }
 
 func (c *Core) fireRun(r *run, e chart.Event) {
+	before := r.open()
 	runChart.Fire(&r.state, e, runContext{core: c, run: r})
+	switch after := r.open(); {
+	case after && !before:
+		r.link.openGrants++
+	case before && !after:
+		r.link.openGrants--
+	}
 	if runChart.Final(r.state) {
 		delete(c.runs, r.grant.ID)
 	}
 }
 
+// open reports whether the run's entry has to hear of it before it may be repeated
+// elsewhere: it is queued, or has been handed to the endpoint and has not ended.
+func (r *run) open() bool {
+	return r.state == runStates.Queued || r.state == runStates.Running || r.state == runStates.Stopping
+}
+
+// moveTo attaches the run to another link of its entry.
+func (r *run) moveTo(l *link) {
+	if r.open() {
+		r.link.openGrants--
+		l.openGrants++
+	}
+	r.link = l
+}
+
 // handleGrant starts the task of a grant, queues the grant or refuses it. A grant
 // that is known already is ignored.
 func (c *Core) handleGrant(l *link, g *structs.Grant) {
 	if c.runs[g.ID] != nil {
 		return
 	}
-	r := &run{grant: *g, link: l, state: runChart.Initial(), limit: g.Limit}
+	r := &run{grant: *g, link: l, state: runChart.Initial(), limit: g.Limit, unconfirmed: !c.confirmedRecently(l)}
 	if g.Queued {
 		r.late = g.StartWithin < 0
 		r.startBy = c.now.Add(g.StartWithin)
@@ -92,6 +117,8 @@
 	switch {
 	case r.endpointFull:
 		return structs.EndpointFull
+	case r.unconfirmed:
+		return structs.Unconfirmed
 	case r.notSent:
 		return structs.EndpointUnreachable
 	case c.leaving():
@@ -183,7 +210,7 @@
 
 func (c *Core) resumeRuns(l *link) {
 	for _, r := range c.runsOfEntry(l) {
-		r.link = l
+		r.moveTo(l)
 		c.fireRun(r, runEvents.Resumed)
 	}
 }
--- a/internal/agentd/connection.go
+++ b/internal/agentd/connection.go
@@ -32,9 +32,11 @@
 	cancelDial   context.CancelFunc
 	lastReceived time.Time
 	lastSent     time.Time
-	// idle and revision were last sent to the entry; heartbeats repeat them.
-	idle     uint32
-	revision uint64
+	// idle, waiting, busy and revision were last sent to the entry; heartbeats repeat
+	// them.
+	idle, waiting uint32
+	busy          bool
+	revision      uint64
 	// frames is the encoded message while the event send is handled.
 	frames []byte
 	// queued holds the bytes to write after the current write.
@@ -93,7 +95,7 @@
 func newConnection(link agent.LinkID, address string, owner *links, cancelDial context.CancelFunc, now time.Time) *connection {
 	return &connection{
 		state: connectionChart.Initial(), link: link, address: address, owner: owner,
-		cancelDial: cancelDial, lastReceived: now, lastSent: now,
+		cancelDial: cancelDial, lastReceived: now, lastSent: now, busy: true,
 	}
 }
 
@@ -112,6 +114,8 @@
 	c.frames = frames
 	c.lastSent = now
 	c.idle = m.Idle
+	c.waiting = m.Waiting
+	c.busy = m.Busy
 	c.revision = max(c.revision, m.Revision)
 	c.fire(connectionEvents.Send)
 	c.frames = nil
@@ -134,16 +138,26 @@
 	if c.state != connectionStates.Open && c.state != connectionStates.Finishing {
 		return
 	}
-	if now.Sub(c.lastReceived) > c.owner.timing.SilenceTimeout {
+	heartbeat, silence := c.pace()
+	if now.Sub(c.lastReceived) > silence {
 		c.fire(connectionEvents.Silent)
 		return
 	}
-	if now.Sub(c.lastSent) > c.owner.timing.HeartbeatInterval {
-		c.send(now, &structs.FromAgent{Heartbeat: true, Idle: c.idle, Revision: c.revision})
+	if now.Sub(c.lastSent) > heartbeat {
+		c.send(now, &structs.FromAgent{Heartbeat: true, Idle: c.idle, Waiting: c.waiting, Busy: c.busy, Revision: c.revision})
 	}
 	c.pollProgress()
 }
 
+// pace returns the heartbeat interval and the silence timeout that apply at present.
+func (c *connection) pace() (heartbeat, silence time.Duration) {
+	t := &c.owner.timing
+	if c.busy || t.IdleHeartbeat == 0 {
+		return t.HeartbeatInterval, t.SilenceTimeout
+	}
+	return t.IdleHeartbeat, t.IdleSilenceTimeout
+}
+
 // pollProgress asks the event loop how much of the current write is left. The
 // event loop reports this only in answer to a write, so an empty one is made.
 func (c *connection) pollProgress() {
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -59,6 +59,11 @@
 	HeartbeatInterval time.Duration
 	// SilenceTimeout is how long nothing may arrive on a link before it is closed.
 	SilenceTimeout time.Duration
+	// IdleHeartbeat and IdleSilenceTimeout take the place of HeartbeatInterval and
+	// SilenceTimeout while the entry has no open grant at the agent, if the entry knows
+	// of it. Zero means that there is no difference.
+	IdleHeartbeat      time.Duration
+	IdleSilenceTimeout time.Duration
 	// EntryGrace is how long an entry may be unreachable before its tasks are
 	// stopped.
 	EntryGrace time.Duration
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -22,12 +22,15 @@
 	Seed uint64
 	// Tuning holds the parameters of the policy; zero values mean defaults.
 	Tuning Tuning
+	// Paced is set if RelaxLink makes links send fewer heartbeats.
+	Paced bool
 }
 
 // Core is the state machine of one entry; see the package comment.
 type Core struct {
 	self   structs.Peer
 	tuning Tuning
+	paced  bool
 	rng    *rand.Rand
 	now    time.Time
 
@@ -90,6 +93,7 @@
 		tuning:       o.Tuning.withDefaults(),
 		rng:          rand.New(rand.NewPCG(o.Seed, uint64(o.Self.Incarnation))),
 		jobs:         map[uint64]*job{},
+		paced:        o.Paced,
 		waiters:      map[ReplyID]*job{},
 		namedJobs:    map[string]*job{},
 		crashes:      map[string]*crashRecord{},
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -86,12 +86,12 @@
 		if need == 0 {
 			return
 		}
-		if s.idleCredits == 0 || !s.acceptsDemand() || c.now.Sub(s.demandSentAt) < c.tuning.DemandDelay {
+		if s.idleSlots == 0 || !s.acceptsDemand() || c.now.Sub(s.demandSentAt) < c.tuning.DemandDelay {
 			continue
 		}
-		requested := min(need, s.idleCredits)
+		requested := min(need, s.idleSlots)
 		need -= requested
-		s.idleCredits = 0
+		s.idleSlots = 0
 		c.sendDemand(s, p.demand(c.now, 1, requested, s.slotsFor))
 	}
 }
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -158,8 +158,8 @@
 		if s.logSlowness > credited.logSlowness-minLogSpeedup {
 			return nil
 		}
-		if slots := s.slotsFor(t.needs); c.canQueue(s, t) && int(s.idleCredits) >= slots {
-			s.idleCredits -= uint32(slots)
+		if slots := s.slotsFor(t.needs); c.canQueue(s, t) && int(s.idleSlots) >= slots {
+			s.idleSlots -= uint32(slots)
 			return s
 		}
 	}
@@ -187,7 +187,7 @@
 		}
 	}
 	if immediate != nil {
-		immediate.idleCredits -= min(immediate.idleCredits, uint32(immediate.slotsFor(t.needs)))
+		immediate.idleSlots -= min(immediate.idleSlots, uint32(immediate.slotsFor(t.needs)))
 		return immediate
 	}
 	return shortest
@@ -195,7 +195,7 @@
 
 // reachableSlots returns the number of slots that a grant without a credit can get
 // at the worker, since its agent revokes the unused credits that entries hold.
-func (s *session) reachableSlots() int { return max(0, s.credits.any) + int(s.idleCredits) }
+func (s *session) reachableSlots() int { return max(0, s.credits.any) + int(s.idleSlots) }
 
 // canQueue reports whether the task may be granted to the agent without a credit.
 func (c *Core) canQueue(s *session, t *task) bool {
@@ -230,6 +230,7 @@
 	} else {
 		s.credits.add(t.reserved, -t.slots)
 	}
+	s.hastened = true
 	c.waitingBytes -= len(t.payload)
 	c.recordTaskStart(t)
 	c.fireTask(t, taskEvents.Grant, s, nil)
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -182,6 +182,10 @@
 // it.
 type CloseLink struct{ Link LinkID }
 
+// RelaxLink reports that no grant is open on a link, so that it needs fewer heartbeats
+// until the next grant is sent.
+type RelaxLink struct{ Link LinkID }
+
 // LogEvent reports an event for the log.
 type LogEvent struct {
 	Event    event.ID
@@ -237,6 +241,7 @@
 func (*Refused) isEffect()       {}
 func (*Send) isEffect()          {}
 func (*CloseLink) isEffect()     {}
+func (*RelaxLink) isEffect()     {}
 func (*LogEvent) isEffect()      {}
 func (*ConfigAdopted) isEffect() {}
 func (*Drained) isEffect()       {}
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -72,6 +72,13 @@
 
 // applyRefusal updates the worker's state for a grant that its agent refused.
 func (c *Core) applyRefusal(s *session, t *task, reason structs.RefusalReason) {
+	if reason == structs.Unconfirmed {
+		if !t.queuedAtAgent {
+			s.credits.add(t.reserved, t.slots) // the agent did not deduct the credits
+		}
+		c.fireHealth(s, healthEvents.Returned)
+		return
+	}
 	// A queued grant that was cancelled by this entry says nothing about the
 	// agent.
 	if t.queuedAtAgent && t.state == taskStates.Granted {
@@ -108,7 +115,8 @@
 
 // handleCredits applies the credits that the agent offered and revoked.
 func (c *Core) handleCredits(s *session, m *structs.FromAgent) {
-	s.idleCredits = m.Idle
+	s.idleSlots = m.Idle
+	s.slotsWaiting = m.Waiting
 	if s.state != sessionStates.Up {
 		return
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -24,8 +24,10 @@
 	// divided is set if slots are equal shares of the capacity. A task then takes
 	// as many slots as its needs require, otherwise one.
 	divided bool
-	pool    *pool
-	state   chart.State
+	// paced is set if the link may be relaxed, hastened while it is not.
+	paced, hastened bool
+	pool            *pool
+	state           chart.State
 	// link is zero while the agent is disconnected.
 	link LinkID
 	// released is set once a leaving agent has been told that it may exit.
@@ -47,9 +49,11 @@
 	// because the agent has refused one.
 	queuePausedUntil time.Time
 	granted          map[structs.GrantID]*task
-	// idleCredits is the number of the agent's credits that other entries hold
-	// unused.
-	idleCredits uint32
+	// idleSlots is the number of the agent's slots that a grant without a credit could
+	// take, as last reported, and slotsWaiting the number that the grants queued there
+	// need.
+	idleSlots    uint32
+	slotsWaiting uint32
 	// openDemand is the demand last sent, less the credits offered since.
 	// demandSentAt is the time at which it was sent.
 	openDemand   structs.Demand
@@ -201,10 +205,12 @@
 	s.link = link
 	s.connection = hello.Connection
 	s.slots = hello.Slots
+	s.paced = c.paced && hello.Paced
+	s.hastened = true
 	c.links[link] = s
 	c.fireSession(s, sessionEvents.Hello, hello)
 	m := s.outgoingMessage()
-	m.Welcome = &structs.Welcome{Entry: c.self, Revision: c.revision()}
+	m.Welcome = &structs.Welcome{Entry: c.self, Revision: c.revision(), Paced: s.paced}
 	m.Config = c.doc
 	m.Peers = c.peers
 	m.Leaving = c.leaving()
@@ -303,6 +309,14 @@
 	}
 }
 
+// relaxLink relaxes the link of a session that has no open grants any more.
+func (c *Core) relaxLink(s *session) {
+	if s.paced && s.hastened && s.link != 0 && len(s.granted) == 0 {
+		s.hastened = false
+		c.emit(&RelaxLink{Link: s.link})
+	}
+}
+
 // loseGrants ends the agent's grants with an unknown outcome.
 func (c *Core) loseGrants(s *session) {
 	for _, t := range s.grantedTasks() {
@@ -322,6 +336,7 @@
 	if s.health == healthStates.Probation && !c.now.Before(s.probationEnd) {
 		c.fireHealth(s, healthEvents.ProbationOver)
 	}
+	c.relaxLink(s)
 	c.checkOverruns(s)
 	for _, t := range s.granted {
 		if elapsed := c.now.Sub(t.grantedAt); elapsed > c.estimate(t.kind, t.declaredRunTime) {
--- a/internal/entryd/config.go
+++ b/internal/entryd/config.go
@@ -73,6 +73,9 @@
 	// SilentBeats is the number of heartbeat periods without a frame after which
 	// a link is closed; 0 means five.
 	SilentBeats int
+	// IdleHeartbeat takes the place of Heartbeat on links on which no grant is open, to
+	// agents that know of it; 0 means that there is no difference.
+	IdleHeartbeat time.Duration
 }
 
 // withDefaults returns the configuration with defaults for unset fields, except
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -229,6 +229,8 @@
 		a.send(e)
 	case *dispatch.CloseLink:
 		a.closeLink(e.Link)
+	case *dispatch.RelaxLink:
+		a.relaxLink(e.Link)
 	case *dispatch.ConfigAdopted:
 		a.publishDocument(e)
 	case *dispatch.LogEvent:
@@ -263,6 +265,12 @@
 	}
 }
 
+func (a *coreActor) relaxLink(id dispatch.LinkID) {
+	if l, ok := a.links[id]; ok {
+		l.relax()
+	}
+}
+
 func (a *coreActor) logEvent(e *dispatch.LogEvent) {
 	fields := []zap.Field{}
 	if e.Endpoint != "" {
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -101,6 +101,7 @@
 		eventLoops:      eventLoops,
 		heartbeatPeriod: config.Heartbeat,
 		silentPeriods:   config.SilentBeats,
+		idlePeriod:      config.IdleHeartbeat,
 	}, components.core, config.Log)
 	if err != nil {
 		open.close()
--- a/internal/entryd/link.go
+++ b/internal/entryd/link.go
@@ -30,6 +30,10 @@
 	// measuring the elapsed time, so that a pause of this process counts as one
 	// period only and does not close every link.
 	defaultSilentPeriods = 5
+	// idleSendPeriods is the number of idle periods after which an entry sends a
+	// heartbeat on an idle link. It needs fewer than the agent sends: the agent's
+	// messages tell the entry where there is room, and their stamps how old a grant is.
+	idleSendPeriods = 3
 	// maxHelloBytes is the maximum size of the first frame of a link.
 	maxHelloBytes = 1 << 20
 	// maxOutboundBytes is the maximum number of unsent bytes of a link: two
@@ -38,7 +42,7 @@
 )
 
 // link is a connection from an agent. Only the connection's event loop accesses
-// its fields, except for id, conn, inbox, log, queuedBytes and seen.
+// its fields, except for id, conn, inbox, log, queuedBytes, seen and busy.
 type link struct {
 	id    dispatch.LinkID
 	conn  gnet.Conn
@@ -49,6 +53,8 @@
 	queuedBytes atomic.Int64
 	// seen is the highest stamp that has been read.
 	seen atomic.Uint64
+	// busy is set while grants may be open on the link. The core actor sets it.
+	busy atomic.Bool
 
 	state chart.State
 	// registered is set once the core actor knows the link.
@@ -57,14 +63,20 @@
 	received *structs.FromAgent
 	// frameErr says why the last frame could not be decoded.
 	frameErr error
-	// forwardedIdle and forwardedRevision are the values of the last message
-	// that was forwarded to the dispatcher.
+	// forwardedIdle, forwardedWaiting and forwardedRevision are the values of the last
+	// message that was forwarded to the dispatcher.
 	forwardedIdle     uint32
+	forwardedWaiting  uint32
 	forwardedRevision uint64
 	// silentPeriods is the number of heartbeat periods since the last frame.
 	silentPeriods int
-	// sentInPeriod is set if a frame was sent in the current heartbeat period.
-	sentInPeriod bool
+	// unsentPeriods is the number of heartbeat periods, the present one included, in
+	// which no frame was sent.
+	unsentPeriods int
+	// paced is set if the agent sends fewer heartbeats while it is not busy.
+	paced bool
+	// confirmNext is set if the agent's next frame is to be confirmed at once.
+	confirmNext bool
 	// heartbeatTimer fires at the end of each heartbeat period.
 	heartbeatTimer *time.Timer
 	server         *linkServer
@@ -79,9 +91,9 @@
 		"silent": func(l *link) bool {
 			return l.silentPeriods >= cmp.Or(l.server.options.silentPeriods, defaultSilentPeriods)-1
 		},
-		"sent_in_period": func(l *link) bool { return l.sentInPeriod },
+		"sent_recently": (*link).sentRecently,
 		"unchanged": func(l *link) bool {
-			return l.received.Idle == l.forwardedIdle && l.received.Revision == l.forwardedRevision
+			return l.received.Idle == l.forwardedIdle && l.received.Waiting == l.forwardedWaiting && l.received.Revision == l.forwardedRevision
 		},
 		"registered": func(l *link) bool { return l.registered },
 	},
@@ -126,7 +138,8 @@
 }
 
 func newLink(id dispatch.LinkID, conn gnet.Conn, server *linkServer) *link {
-	l := &link{id: id, conn: conn, server: server, inbox: server.inbox, log: server.log, state: inboundChart.Initial()}
+	l := &link{id: id, conn: conn, server: server, inbox: server.inbox, log: server.log, state: inboundChart.Initial(), unsentPeriods: 1}
+	l.busy.Store(true)
 	l.heartbeatTimer = time.AfterFunc(l.untilHeartbeat(time.Now()), func() { l.runInLoop(l.periodElapsed) })
 	return l
 }
@@ -140,7 +153,7 @@
 // untilHeartbeat returns the time to the next point of the link's phase that is
 // at least half a period away, and so less than one and a half periods.
 func (l *link) untilHeartbeat(now time.Time) time.Duration {
-	period := l.server.options.heartbeatPeriod
+	period := l.period()
 	phase := period * time.Duration(l.id%heartbeatPhases) / heartbeatPhases
 	wait := period - (time.Duration(now.UnixNano())-phase)%period
 	if wait < period/2 {
@@ -149,6 +162,41 @@
 	return wait
 }
 
+// period returns the heartbeat period that applies at present.
+func (l *link) period() time.Duration {
+	if l.busy.Load() {
+		return l.server.options.heartbeatPeriod
+	}
+	return l.server.options.idlePeriod
+}
+
+// relax lets the link go over to the slower pace at its next heartbeat. Only the core
+// actor calls it.
+func (l *link) relax() {
+	if l.server.options.idlePeriod > 0 {
+		l.busy.Store(false)
+	}
+}
+
+// hasten starts the faster pace, from the first grant on a link without open ones. The
+// agent's newest confirmed message may be old by then, so its next one is confirmed at
+// once. Until then the agent needs the time that it had before.
+func (l *link) hasten() {
+	l.silentPeriods = 0
+	l.confirmNext = true
+	if l.state == inboundStates.Opened || l.state == inboundStates.Established {
+		l.heartbeatTimer.Reset(l.untilHeartbeat(time.Now()))
+	}
+}
+
+// sentRecently reports whether no heartbeat is due at the end of a period.
+func (l *link) sentRecently() bool {
+	if l.busy.Load() {
+		return l.unsentPeriods == 0
+	}
+	return l.unsentPeriods < idleSendPeriods-1
+}
+
 func (l *link) fire(e chart.Event) { inboundChart.Fire(&l.state, e, l) }
 
 // runInLoop calls f in the link's event loop. If the loop has ended, f is not
@@ -169,7 +217,6 @@
 		if !ok {
 			return
 		}
-		l.silentPeriods = 0
 		l.handleFrame(body)
 	}
 	_, _ = l.conn.Discard(l.conn.InboundBuffered())
@@ -216,6 +263,10 @@
 	l.received, l.frameErr = wire.DecodeFromAgent(body)
 	if l.frameErr == nil {
 		l.seen.Store(max(l.seen.Load(), uint64(l.received.Sent)))
+		l.paced = l.paced || (l.received.Hello != nil && l.received.Hello.Paced)
+		if l.showsLife(l.received) {
+			l.silentPeriods = 0
+		}
 	}
 	switch {
 	case l.frameErr != nil:
@@ -228,6 +279,18 @@
 		l.fire(inboundEvents.Message)
 	}
 	l.received = nil
+	if l.confirmNext && l.state == inboundStates.Established {
+		l.confirmNext = false
+		l.sendHeartbeat()
+	}
+}
+
+// showsLife reports whether a message shows that the agent hears this entry. An agent
+// that has got the grants open on the link is busy; one that is not, after several
+// periods, hasn't heard of them.
+func (l *link) showsLife(m *structs.FromAgent) bool {
+	return m.Busy || !l.paced || !l.busy.Load() ||
+		m.Hello != nil || len(m.Results) > 0 || len(m.Refusals) > 0 || len(m.Started) > 0
 }
 
 // isBareHeartbeat reports whether a message is a heartbeat with no content but
@@ -254,6 +317,7 @@
 // recordForwarded records the values with which the next heartbeat is compared.
 func (l *link) recordForwarded() {
 	l.forwardedIdle = l.received.Idle
+	l.forwardedWaiting = l.received.Waiting
 	l.forwardedRevision = l.received.Revision
 }
 
@@ -270,7 +334,7 @@
 // beginPeriod begins the next heartbeat period.
 func (l *link) beginPeriod() {
 	l.silentPeriods++
-	l.sentInPeriod = false
+	l.unsentPeriods++
 }
 
 func (l *link) sendHeartbeat() { l.send(&structs.FromEntry{Heartbeat: true}) }
@@ -298,6 +362,9 @@
 		l.requestClose()
 		return
 	}
+	if len(m.Grants) > 0 && !l.busy.Swap(true) {
+		l.runInLoop(l.hasten)
+	}
 	size := int64(len(frame))
 	if l.queuedBytes.Add(size) > maxOutboundBytes {
 		l.runInLoop(l.signalOverflow)
@@ -316,7 +383,7 @@
 	if err != nil {
 		return
 	}
-	l.sentInPeriod = true
+	l.unsentPeriods = 0
 	if l.conn.OutboundBuffered() > maxOutboundBytes {
 		l.signalOverflow()
 	}
--- a/internal/entryd/links.go
+++ b/internal/entryd/links.go
@@ -30,6 +30,9 @@
 	// silentPeriods is the number of heartbeat periods without a frame after
 	// which a link is closed; zero means defaultSilentPeriods.
 	silentPeriods int
+	// idlePeriod is the heartbeat period of links without open grants; zero means
+	// heartbeatPeriod.
+	idlePeriod time.Duration
 }
 
 // linkServer accepts the connections of agents. Its event loops only decode
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -16,6 +16,9 @@
 	// the number of such periods without a message after which the entry closes it.
 	Heartbeat   time.Duration
 	SilentBeats int
+	// IdleHeartbeat is the longest time between two messages of an agent on a link on
+	// which no grant is open. An entry needs a third of them.
+	IdleHeartbeat time.Duration
 	// EntrySilence is the time without a message from an entry after which an agent
 	// closes the link, and EntryGrace how long the agent then waits for the entry to
 	// reconnect before it stops the entry's tasks.
@@ -77,6 +80,18 @@
 // extended, the drift of the worker's clock and the end of the run.
 const stopAllowance = 200 * time.Millisecond
 
+// maxIdleHeartbeat bounds IdleHeartbeat: a lost agent without open grants is noticed only
+// after three of them, and a grant more often has to be sent twice the rarer they are.
+const maxIdleHeartbeat = time.Second
+
+// idleSilenceBeats is the number of idle heartbeats after which an agent closes an idle
+// link without a message from the entry, which sends one for three of the agent's.
+const idleSilenceBeats = 9
+
+// IdleSilence is the time without a message from an entry after which an agent closes a
+// link on which no grant is open.
+func (n *Node) IdleSilence() time.Duration { return idleSilenceBeats * n.IdleHeartbeat }
+
 // longestOutlasting returns how long after an entry has closed a silent link a run of
 // it may go on at the agent. The last message of the agent may be one heartbeat older
 // than that of the entry, and the entry may count one period less.
@@ -88,27 +103,31 @@
 func readNode(o *object) *Node {
 	ms := func(name string) time.Duration { return millis(o.requiredInteger(name, minDurationMS, maxDurationMS)) }
 	n := &Node{
-		Heartbeat:    ms("heartbeat_ms"),
-		SilentBeats:  int(o.requiredInteger("silent_beats", 1, maxSilentBeats)),
-		EntrySilence: ms("entry_silence_ms"),
-		EntryGrace:   ms("entry_grace_ms"),
-		AgentGrace:   ms("agent_grace_ms"),
-		Lease:        ms("lease_ms"),
-		PollWait:     ms("look_wait_ms"),
-		Dial:         ms("dial_ms"),
-		Redial:       ms("redial_ms"),
-		Pause:        ms("pause_ms"),
-		FeedWait:     ms("feed_wait_ms"),
-		Settle:       ms("settle_ms"),
-		DrainTimeout: ms("drain_timeout_ms"),
-		MetricsPort:  int(o.requiredInteger("metrics_port", 1, maxPort)),
-		LogLevel:     readLogLevel(o),
+		Heartbeat:     ms("heartbeat_ms"),
+		IdleHeartbeat: ms("idle_heartbeat_ms"),
+		SilentBeats:   int(o.requiredInteger("silent_beats", 1, maxSilentBeats)),
+		EntrySilence:  ms("entry_silence_ms"),
+		EntryGrace:    ms("entry_grace_ms"),
+		AgentGrace:    ms("agent_grace_ms"),
+		Lease:         ms("lease_ms"),
+		PollWait:      ms("look_wait_ms"),
+		Dial:          ms("dial_ms"),
+		Redial:        ms("redial_ms"),
+		Pause:         ms("pause_ms"),
+		FeedWait:      ms("feed_wait_ms"),
+		Settle:        ms("settle_ms"),
+		DrainTimeout:  ms("drain_timeout_ms"),
+		MetricsPort:   int(o.requiredInteger("metrics_port", 1, maxPort)),
+		LogLevel:      readLogLevel(o),
 
 		AdvertisedLink: o.stringOr("advertised_link_address", "", reachableRule),
 	}
 	if n.AgentGrace < n.EntrySilence+n.EntryGrace {
 		o.addFault("agent_grace_ms", n.AgentGrace.String(), "at least the sum of entry_silence_ms and entry_grace_ms")
 	}
+	if n.IdleHeartbeat < n.Heartbeat || n.IdleHeartbeat > maxIdleHeartbeat {
+		o.addFault("idle_heartbeat_ms", n.IdleHeartbeat.String(), fmt.Sprintf("between heartbeat_ms and %v", maxIdleHeartbeat))
+	}
 	if least := n.longestOutlasting(); n.AgentGrace < least {
 		o.addFault("agent_grace_ms", n.AgentGrace.String(), fmt.Sprintf("at least %v, after which the lease of a run that answers no stop has expired", least))
 	}
--- a/internal/settings/node_test.go
+++ b/internal/settings/node_test.go
@@ -28,6 +28,8 @@
 		"unknown key":                    {`"lease_ms": 700`, `"lease_ms": 700, "leas_ms": 1`},
 		"unspecified address":            {`"lease_ms": 700`, `"lease_ms": 700, "advertised_link_address": "0.0.0.0:1"`},
 		"out of bounds":                  {`"metrics_port": 9464`, `"metrics_port": 0`},
+		"idle heartbeats too rare":       {`"idle_heartbeat_ms": 600`, `"idle_heartbeat_ms": 1010`},
+		"idle heartbeats too frequent":   {`"idle_heartbeat_ms": 600`, `"idle_heartbeat_ms": 100`},
 	} {
 		t.Run(name, func(t *testing.T) {
 			text := strings.Replace(string(raw), change[0], change[1], 1)
--- a/internal/structs/link.go
+++ b/internal/structs/link.go
@@ -32,8 +32,13 @@
 	Revoked Credits
 	// Offered adds credits. A grant uses one for each slot that its task takes.
 	Offered Credits
-	// Idle is the number of credits that other entries hold unused.
+	// Idle is the number of slots that a grant without a credit of the entry could
+	// take at once: free ones, and those whose credits other entries hold unused.
 	Idle uint32
+	// Waiting is the number of slots that the grants queued at the agent need.
+	Waiting uint32
+	// Busy is set while the agent holds a grant of the entry that has not ended.
+	Busy bool
 	// Leaving means that the agent accepts no more grants.
 	Leaving bool
 	// Revision is the configuration revision in force at the agent.
@@ -68,6 +73,9 @@
 	// Divided means that the slots are equal shares of the capacity, so that a
 	// task takes as many slots as its needs require. Otherwise each task takes one.
 	Divided bool
+	// Paced is set if the agent sends heartbeats less often while it is not busy for
+	// the entry.
+	Paced bool
 	// Held lists the grants of this entry that the agent has started and whose
 	// results the entry has not acknowledged. A grant that is not listed was not
 	// started and never will be.
@@ -123,6 +131,11 @@
 	// EndpointFull means that the agent accepted the grant and its credit, but the
 	// endpoint has no capacity for the task at the moment.
 	EndpointFull
+	// NoRoom means that a grant that must not wait could not start at once.
+	NoRoom
+	// Unconfirmed means that the entry may have sent the grant too long ago: it has
+	// not confirmed a recent message of the agent.
+	Unconfirmed
 )
 
 // Refusal reports that a grant was not started and never will be.
@@ -170,6 +183,9 @@
 	// Revision is the configuration revision in force at the entry; zero means
 	// none.
 	Revision uint64
+	// Paced is set if the entry sends heartbeats less often while no grant of it is
+	// open at the agent, and expects no more of the agent.
+	Paced bool
 }
 
 // Grant assigns one task to the agent.
@@ -191,6 +207,9 @@
 	// objective; it is negative if the objective can no longer be met.
 	Queued      bool
 	StartWithin time.Duration
+	// NoWait is set on a queued grant that is refused unless it can start at once.
+	// Agents of earlier releases let it wait.
+	NoWait bool
 	// Name is the endpoint's identifier of the task; it may be empty.
 	Name string
 	// Limit is the maximum run time.
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -86,7 +86,7 @@
 
 func fromAgentToPB(m *structs.FromAgent) (*wirepb.FromAgent, error) {
 	pb := &wirepb.FromAgent{
-		Idle: m.Idle, Leaving: m.Leaving, Revision: m.Revision, Heartbeat: m.Heartbeat, Sent: uint64(m.Sent),
+		Idle: m.Idle, Leaving: m.Leaving, Revision: m.Revision, Heartbeat: m.Heartbeat, Sent: uint64(m.Sent), Busy: m.Busy, Waiting: m.Waiting,
 		Offered: creditsToPB(m.Offered), Revoked: creditsToPB(m.Revoked), Started: grantIDsToPB(m.Started),
 	}
 	if m.Hello != nil {
@@ -109,7 +109,7 @@
 
 func fromAgentFromPB(pb *wirepb.FromAgent) (*structs.FromAgent, error) {
 	m := &structs.FromAgent{
-		Idle: pb.Idle, Leaving: pb.Leaving, Revision: pb.Revision, Heartbeat: pb.Heartbeat, Sent: structs.Stamp(pb.Sent),
+		Idle: pb.Idle, Leaving: pb.Leaving, Revision: pb.Revision, Heartbeat: pb.Heartbeat, Sent: structs.Stamp(pb.Sent), Busy: pb.Busy, Waiting: pb.Waiting,
 		Offered: creditsFromPB(pb.Offered), Revoked: creditsFromPB(pb.Revoked), Started: grantIDsFromPB(pb.Started),
 	}
 	if pb.Hello != nil {
@@ -135,14 +135,14 @@
 		Heartbeat: m.Heartbeat, Leaving: m.Leaving, Released: m.Released, Seen: uint64(m.Seen), ConfigWanted: m.ConfigWanted,
 	}
 	if m.Welcome != nil {
-		pb.Welcome = &wirepb.Welcome{Entry: peerToPB(m.Welcome.Entry), Revision: m.Welcome.Revision}
+		pb.Welcome = &wirepb.Welcome{Entry: peerToPB(m.Welcome.Entry), Revision: m.Welcome.Revision, Paced: m.Welcome.Paced}
 	}
 	for i := range m.Grants {
 		g := &m.Grants[i]
 		pb.Grants = append(pb.Grants, &wirepb.Grant{
 			Id: grantIDToPB(g.ID), Service: g.Service, Kind: g.Kind, Long: g.Long, Reserved: g.Reserved,
 			LimitUs: g.Limit.Microseconds(), Payload: g.Payload, Slots: g.Slots, Name: g.Name,
-			Queued: g.Queued, StartWithinUs: g.StartWithin.Microseconds(),
+			Queued: g.Queued, NoWait: g.NoWait, StartWithinUs: g.StartWithin.Microseconds(),
 		})
 	}
 	if d := m.Demand; d != nil {
@@ -162,13 +162,13 @@
 		Heartbeat: pb.Heartbeat, Leaving: pb.Leaving, Released: pb.Released, Seen: structs.Stamp(pb.Seen), ConfigWanted: pb.ConfigWanted,
 	}
 	if pb.Welcome != nil {
-		m.Welcome = &structs.Welcome{Entry: peerFromPB(pb.Welcome.Entry), Revision: pb.Welcome.Revision}
+		m.Welcome = &structs.Welcome{Entry: peerFromPB(pb.Welcome.Entry), Revision: pb.Welcome.Revision, Paced: pb.Welcome.Paced}
 	}
 	for _, g := range pb.Grants {
 		m.Grants = append(m.Grants, structs.Grant{
 			ID: grantIDFromPB(g.Id), Service: g.Service, Kind: g.Kind, Long: g.Long, Reserved: g.Reserved,
 			Limit: microsToDuration(g.LimitUs), Payload: g.Payload, Slots: g.Slots, Name: g.Name,
-			Queued: g.Queued, StartWithin: microsToDuration(g.StartWithinUs),
+			Queued: g.Queued, NoWait: g.NoWait, StartWithin: microsToDuration(g.StartWithinUs),
 		})
 	}
 	if d := pb.Demand; d != nil {
@@ -210,7 +210,7 @@
 	return &wirepb.Hello{
 		Endpoint: h.Endpoint, Incarnation: uint64(h.Incarnation), Pool: h.Pool, DataCentre: h.DataCentre,
 		Slots: h.Slots, Held: grantIDsToPB(h.Held), Leaving: h.Leaving,
-		Connection: h.Connection, Session: h.Session, Divided: h.Divided,
+		Connection: h.Connection, Session: h.Session, Divided: h.Divided, Paced: h.Paced,
 		Capacity: &wirepb.Needs{
 			Cores: h.Capacity.Cores, Millicores: h.Capacity.Millicores,
 			MemoryMb: h.Capacity.MemoryMB, Accelerators: h.Capacity.Accelerators,
@@ -223,7 +223,7 @@
 	return &structs.Hello{
 		Endpoint: pb.Endpoint, Incarnation: structs.Incarnation(pb.Incarnation), Pool: pb.Pool, DataCentre: pb.DataCentre,
 		Slots: pb.Slots, Held: grantIDsFromPB(pb.Held), Leaving: pb.Leaving,
-		Connection: pb.Connection, Session: pb.Session, Divided: pb.Divided,
+		Connection: pb.Connection, Session: pb.Session, Divided: pb.Divided, Paced: pb.Paced,
 		Capacity: structs.Needs{
 			Cores: capacity.GetCores(), Millicores: capacity.GetMillicores(),
 			MemoryMB: capacity.GetMemoryMb(), Accelerators: capacity.GetAccelerators(),
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -16,11 +16,11 @@
 	is := is.New(t)
 	want := &structs.FromAgent{
 		Hello: &structs.Hello{Endpoint: "w1", Incarnation: 5, Pool: "p", DataCentre: "Matane", Slots: 8,
-			Capacity: structs.Needs{Cores: 16, MemoryMB: 32, Accelerators: 1}, Held: []structs.GrantID{grantID}, Leaving: true, Connection: 12, Session: 13},
+			Capacity: structs.Needs{Cores: 16, MemoryMB: 32, Accelerators: 1}, Held: []structs.GrantID{grantID}, Leaving: true, Connection: 12, Session: 13, Paced: true},
 		Results:  []structs.Result{{Grant: grantID, Outcome: structs.Errored, Payload: []byte("x"), RunTime: time.Millisecond}},
 		Refusals: []structs.Refusal{{Grant: grantID, Reason: structs.BufferFull}},
 		Revoked:  structs.Credits{Any: 1}, Offered: structs.Credits{Short: 2},
-		Idle: 4, Leaving: true, Revision: 11, Heartbeat: true, Config: &structs.Document{Revision: 11}, Sent: 14,
+		Idle: 4, Leaving: true, Revision: 11, Heartbeat: true, Config: &structs.Document{Revision: 11}, Sent: 14, Waiting: 5, Busy: true,
 	}
 	frame, err := AppendFromAgent(nil, want)
 	is.NoErr(err)
@@ -36,8 +36,8 @@
 	is := is.New(t)
 	peer := structs.Peer{Name: "e1", Incarnation: 3, DataCentre: "Kochi", LinkAddress: "a", PeerAddress: "b", HTTPAddress: "c"}
 	want := &structs.FromEntry{
-		Welcome: &structs.Welcome{Entry: peer, Revision: 6}, Acks: []structs.GrantID{grantID}, Cancels: []structs.GrantID{grantID},
-		Grants: []structs.Grant{{ID: grantID, Service: "s", Kind: "k", Long: true, Reserved: true, Limit: time.Second, Payload: []byte("y")}},
+		Welcome: &structs.Welcome{Entry: peer, Revision: 6, Paced: true}, Acks: []structs.GrantID{grantID}, Cancels: []structs.GrantID{grantID},
+		Grants: []structs.Grant{{ID: grantID, Service: "s", Kind: "k", Long: true, Reserved: true, Limit: time.Second, Payload: []byte("y"), Queued: true, NoWait: true}},
 		Demand: &structs.Demand{Short: 1, Long: 2, HeadAge: time.Millisecond},
 		Config: &structs.Document{Revision: 4, Services: map[string]structs.Service{"s": {Pool: "p"}}},
 		Peers:  []structs.Peer{peer}, Heartbeat: true, Leaving: true, Released: true, Seen: 15, ConfigWanted: true,
--- a/spec/gen/run.pml
+++ b/spec/gen/run.pml
@@ -25,17 +25,23 @@
   if
   :: run_state[self] == run_received ->
     if
-    :: run_if_may_start(self) ->
-      run_do_start(self);
-      run_state[self] = run_running
+    :: run_if_unconfirmed(self) ->
+      run_do_refuse(self);
+      run_state[self] = run_refused
     :: else ->
       if
-      :: run_if_may_wait(self) ->
-        run_do_enqueue(self);
-        run_state[self] = run_queued
+      :: run_if_may_start(self) ->
+        run_do_start(self);
+        run_state[self] = run_running
       :: else ->
-        run_do_refuse(self);
-        run_state[self] = run_refused
+        if
+        :: run_if_may_wait(self) ->
+          run_do_enqueue(self);
+          run_state[self] = run_queued
+        :: else ->
+          run_do_refuse(self);
+          run_state[self] = run_refused
+        fi
       fi
     fi
   :: else -> skip
