A panic or an absurd figure fails only its own request, call or link

Cause: the handler of a client's request, that of a worker's heartbeat and the event loops of links had no recovery, so that any fault in them ended the process and with it every job or lease there.

Change: a panic there is logged with its stack (1033, 1027, 2028, 2029) and fails that request (502: the outcome is unknown), call or link. The actors keep no recovery: their state is not to be trusted after a panic.

Result: the new tests fail without the change, those of panics by ending the test process.

--- a/internal/agentd/event_handler.go
+++ b/internal/agentd/event_handler.go
@@ -57,8 +57,14 @@
 }
 
 // OnTraffic handles every complete frame. An invalid or oversized frame closes
-// only the connection on which it arrived.
-func (h *eventHandler) OnTraffic(conn gnet.Conn) gnet.Action {
+// only the connection on which it arrived, and so does a panic.
+func (h *eventHandler) OnTraffic(conn gnet.Conn) (action gnet.Action) {
+	defer func() {
+		if recovered := recover(); recovered != nil {
+			h.log.Event(event.LinkPanicked, zap.Stringer("entry", conn.RemoteAddr()), zap.Any("fault", recovered), zap.Stack("stack"))
+			action = gnet.Close
+		}
+	}()
 	linkCtx := conn.Context().(*linkContext)
 	h.reportActivity(linkCtx)
 	for {
--- a/internal/agentd/links_test.go
+++ b/internal/agentd/links_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/panjf2000/gnet/v2"
 
 	"cactuspost.example/internal/agent"
 	"cactuspost.example/internal/logging"
@@ -166,3 +168,16 @@
 	is.Equal(last.Revision, m.Revision)
 	is.Equal(last.Sent, first.Sent)
 }
+
+// A fault in the handling of bytes from one entry must not end the agent.
+func TestPanicOnALinkClosesOnlyThatLink(t *testing.T) {
+	is := is.New(t)
+	h := &eventHandler{log: logging.Discard()}
+	is.Equal(h.OnTraffic(&panickingConn{}), gnet.Close)
+}
+
+// panickingConn is a connection whose state has a fault.
+type panickingConn struct{ gnet.Conn }
+
+func (*panickingConn) Context() any         { return &linkContext{} }
+func (*panickingConn) RemoteAddr() net.Addr { return &net.TCPAddr{} }
--- a/internal/entryd/links.go
+++ b/internal/entryd/links.go
@@ -132,8 +132,15 @@
 	return nil, gnet.None
 }
 
-// OnTraffic is called when data has arrived on a connection.
-func (s *linkServer) OnTraffic(conn gnet.Conn) gnet.Action {
+// OnTraffic is called when data has arrived on a connection. A panic closes only that
+// connection, whose state is not used again.
+func (s *linkServer) OnTraffic(conn gnet.Conn) (action gnet.Action) {
+	defer func() {
+		if recovered := recover(); recovered != nil {
+			s.log.Event(event.AgentLinkPanicked, zap.Stringer("address", conn.RemoteAddr()), zap.Any("fault", recovered), zap.Stack("stack"))
+			action = gnet.Close
+		}
+	}()
 	if l, ok := conn.Context().(*link); ok {
 		l.readFrames()
 	}
--- a/internal/entryd/links_test.go
+++ b/internal/entryd/links_test.go
@@ -243,3 +243,18 @@
 	is.True(conn.closed)
 	l.stopHeartbeatTimer()
 }
+
+// A fault in the handling of bytes from one agent must not end the entry.
+func TestPanicOnALinkClosesOnlyThatLink(t *testing.T) {
+	is := is.New(t)
+	events, log := recordEvents()
+	server := &linkServer{log: log}
+	conn := &panickingConn{}
+	is.Equal(server.OnTraffic(conn), gnet.Close)
+	events.awaitEvent(event.AgentLinkPanicked)
+}
+
+// panickingConn is a connection whose state has a fault.
+type panickingConn struct{ stubConn }
+
+func (*panickingConn) Context() any { return &link{} }
--- a/internal/event/agent.go
+++ b/internal/event/agent.go
@@ -15,6 +15,8 @@
 	LinkInboxFull            ID = 2025
 	RunnerInboxFull          ID = 2026
 	NetworkError             ID = 2027
+	LinkPanicked             ID = 2028
+	HeartbeatPanicked        ID = 2029
 	EndpointUp               ID = 2030
 	EndpointDown             ID = 2031
 	RunEnded                 ID = 2040
@@ -51,6 +53,8 @@
 	{LinkInboxFull, Fault, "link inbox full", "The queue of messages to the actor of the links was full; a link was closed, or a connection was not attempted.", "Check whether the agent gets enough processor time."},
 	{RunnerInboxFull, Fault, "runner inbox full", "The queue of messages to the endpoint client was full; a task was not sent.", "Report it as a defect: the queue is large enough for every slot."},
 	{NetworkError, Warning, "network error", "The network library of the links reported an error; a field contains its text.", "Check the network and the limit on open files if this repeats."},
+	{LinkPanicked, Fault, "link panicked", "The handling of bytes from an entry panicked; the link was closed.", "Report it with the fields of the event."},
+	{HeartbeatPanicked, Fault, "heartbeat panicked", "The handling of a call of the worker panicked; the worker was told that it failed.", "Report it with the fields of the event."},
 	{EndpointUp, Info, "endpoint up", "The endpoint passes its health checks; its slots are offered.", "None."},
 	{EndpointDown, Warning, "endpoint down", "The endpoint fails its health checks; its slots are not offered.", "Check the endpoint on this worker."},
 	{RunEnded, Info, "run ended", "A task completed.", "None."},
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -17,6 +17,7 @@
 	AgentLinkOverflow       ID = 1023
 	LinkLimitReached        ID = 1024
 	AgentLinkEncodingFailed ID = 1026
+	AgentLinkPanicked       ID = 1027
 	PeerUnreachable         ID = 1030
 	PeerReplaced            ID = 1031
 	PeerRejected            ID = 1032
@@ -48,6 +49,7 @@
 	{AgentLinkOverflow, Warning, "link overflow", "An agent read too slowly and the send buffer of its link exceeded its limit; the link was closed.", "Check the load of the worker and the network."},
 	{LinkLimitReached, Fault, "link limit reached", "A new connection from an agent was closed because the entry has the maximum number of links.", "Raise the limit or add entries; look for agents that reconnect in a loop."},
 	{AgentLinkEncodingFailed, Fault, "link encoding failed", "A message to an agent could not be encoded; the link was closed.", "Report it with the fields of the event."},
+	{AgentLinkPanicked, Fault, "link panicked", "The handling of bytes from an agent panicked; the link was closed.", "Report it with the fields of the event."},
 	{PeerUnreachable, Warning, "peer unreachable", "A request could not be forwarded because the entry that owns its job could not be reached; the caller was told to retry.", "Check that entry and the network between the entries."},
 	{PeerReplaced, Warning, "peer replaced", "Another incarnation answers at the address of a job's owner; the job was reported as failed with an unknown outcome.", "Look for crashes of that entry if this repeats."},
 	{PeerRejected, Warning, "peer rejected", "A request forwarded by another entry was rejected because it was meant for another incarnation or was malformed.", "None, if an entry was replaced just before; otherwise check that all entries have the same release."},
--- a/internal/ingress/connection.go
+++ b/internal/ingress/connection.go
@@ -8,9 +8,11 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
 
 	"cactuspost.example/charts"
 	"cactuspost.example/internal/chart"
+	"cactuspost.example/internal/event"
 )
 
 // connection is the connection of one client. Only the event loop may use its
@@ -139,7 +141,7 @@
 // event loop.
 func (c *connection) serve(request *fasthttp.Request, clientGone chan time.Time) {
 	var response fasthttp.Response
-	c.server.options.Handler(request, &response, clientGone)
+	c.callHandler(request, &response, clientGone)
 	leaving := c.server.leaving.Load()
 	if leaving {
 		response.SetConnectionClose()
@@ -159,6 +161,19 @@
 	}
 }
 
+// callHandler calls the handler. If it panics, the answer says that the outcome is
+// unknown: what the handler had begun goes on.
+func (c *connection) callHandler(request *fasthttp.Request, response *fasthttp.Response, clientGone chan time.Time) {
+	defer func() {
+		if recovered := recover(); recovered != nil {
+			c.server.options.Log.Event(event.RequestHandlerPanicked, zap.ByteString("path", request.URI().PathOriginal()), zap.Any("fault", recovered), zap.Stack("stack"))
+			response.Reset()
+			response.SetStatusCode(fasthttp.StatusBadGateway)
+		}
+	}()
+	c.server.options.Handler(request, response, clientGone)
+}
+
 func (c *connection) write() {
 	c.idleSince = time.Now()
 	_, _ = c.conn.Write(c.answer)
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -138,3 +138,20 @@
 	is.True(response.ConnectionClose())
 	is.NoErr(<-done)
 }
+
+// A fault in the handling of one request must not end the process, and with it every
+// other request of the entry.
+func TestPanicOfAHandlerFailsOnlyItsRequest(t *testing.T) {
+	is := is.New(t)
+	_, address := startServer(t, func(request *fasthttp.Request, response *fasthttp.Response, gone <-chan time.Time) {
+		if string(request.URI().Path()) == "/fault" {
+			panic("fault")
+		}
+		echo(request, response, gone)
+	}, Limits{})
+	conn, r := dial(t, address)
+	_, _ = conn.Write([]byte("POST /fault HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"))
+	is.Equal(read(t, r).StatusCode(), fasthttp.StatusBadGateway)
+	_, _ = conn.Write([]byte("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"))
+	is.Equal(string(read(t, r).Body()), "ab")
+}
