--- a/internal/dispatch/spread_test.go
+++ b/internal/dispatch/spread_test.go
@@ -96,6 +96,19 @@
 	h.Equal(second.ID.Attempt, g.ID.Attempt+1)
 }
 
+// An agent deducts no credits of a grant that it refuses on arrival.
+func TestCreditsOfAnUnconfirmedGrantAreReturned(t *testing.T) {
+	h := newTimedHarness(t)
+	h.connectDividedWorker(1, 1, 40)
+	h.runJob("j", 1, 1000)
+	_, g := h.takeOnlyGrant()
+	h.True(!g.Queued)
+	h.step(&AgentMessage{Link: 1, Message: &structs.FromAgent{Refusals: []structs.Refusal{{Grant: g.ID, Reason: structs.Unconfirmed}}}})
+	_, again := h.takeOnlyGrant()
+	h.True(!again.Queued)
+	h.Equal(h.core.sessions["w1"].credits.any, 30)
+}
+
 func TestTaskThatHasWaitedIsBoundToAQueue(t *testing.T) {
 	h := newCrowdedHarness(t, 3)
 	for link := LinkID(1); link <= 3; link++ {
