--- a/internal/agent/bound.go
+++ b/internal/agent/bound.go
@@ -33,7 +33,7 @@
 	}
 	bound := time.Time{}
 	for _, r := range c.runs {
-		endBy := time.Time{}
+		var endBy time.Time
 		switch {
 		case r.state == runStates.Orphaned:
 			endBy = r.endBy
