Review: a planned stop of an entry cuts off jobs that wait for room

The case starts two entries, two agents and stand-ins, and stops one entry with SIGTERM while jobs wait.

--- /dev/null
+++ b/review/harness/worker.go
@@ -0,0 +1,282 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// maxHold is the platform's holdMaxMs, stopTime is within its stopMs.
+	maxHold  = time.Second
+	stopTime = 20 * time.Millisecond
+	// workerTick is the resolution of a worker's timers.
+	workerTick = 2 * time.Millisecond
+	// beatInterval is the platform's heartbeatMs.
+	beatInterval = 1500 * time.Millisecond
+)
+
+// worker is a stand-in of a worker as the platform's pages describe it. The spec of a
+// task says how long it runs and how much it needs, such as "ms=2500 cpu=1600".
+type worker struct {
+	id, service, address, zone, control string
+	cpu                                 int
+	log                                 *record
+	born                                time.Time
+	server                              *http.Server
+
+	mu       sync.Mutex
+	token    uint64
+	runs     map[string]*workerRun
+	highest  map[string]uint64
+	ends     [][5]any
+	serial   int
+	leaseEnd time.Duration
+	changed  chan struct{}
+	sequence int
+	stopped  chan struct{}
+	history  []runRecord
+}
+
+type workerRun struct {
+	number  uint64
+	cpu     int
+	endsAt  time.Time
+	stopsAt time.Time
+	record  int
+}
+
+// runRecord is one run, as the worker saw it.
+type runRecord struct {
+	task           string
+	run            uint64
+	worker         string
+	started, ended time.Time
+	how            string
+}
+
+func startWorker(w *worker, listen string) error {
+	w.born = time.Now()
+	w.runs, w.highest = map[string]*workerRun{}, map[string]uint64{}
+	w.changed, w.stopped = make(chan struct{}), make(chan struct{})
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /-/run-start", w.handle(w.start))
+	mux.HandleFunc("POST /-/run-stop", w.handle(w.stop))
+	mux.HandleFunc("POST /-/hold", w.handle(w.hold))
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
+	}
+	w.server = &http.Server{Handler: mux}
+	go func() { _ = w.server.Serve(listener) }()
+	go w.tickLoop()
+	go w.beatLoop()
+	return nil
+}
+
+func (w *worker) close() {
+	close(w.stopped)
+	_ = w.server.Close()
+}
+
+func (w *worker) clock() time.Duration { return time.Since(w.born) }
+
+type workerCall struct {
+	Task         string
+	Run          uint64
+	Spec         string
+	UntilMs      int64
+	FencingToken uint64
+	LastSeen     int
+	WaitMs       int64
+}
+
+// handle checks what holds for every call, and executes it. A result of nil means that
+// f has answered the call.
+func (w *worker) handle(f func(http.ResponseWriter, *http.Request, *workerCall) string) http.HandlerFunc {
+	return func(out http.ResponseWriter, r *http.Request) {
+		var c workerCall
+		if json.NewDecoder(r.Body).Decode(&c) != nil {
+			writeJSON(out, http.StatusBadRequest, w.answer())
+			return
+		}
+		if id := r.Header.Get("Cactuspost-Expect-Instance"); id != "" && id != w.id {
+			writeJSON(out, http.StatusMisdirectedRequest, w.answer())
+			return
+		}
+		w.mu.Lock()
+		reason := "fence"
+		if c.FencingToken >= w.token {
+			w.token = c.FencingToken
+			reason = f(out, r, &c)
+		}
+		w.mu.Unlock()
+		switch reason {
+		case "":
+			writeJSON(out, http.StatusOK, w.answer())
+		case "answered":
+		default:
+			a := w.answer()
+			a["reason"] = reason
+			writeJSON(out, http.StatusConflict, a)
+		}
+	}
+}
+
+func (w *worker) answer() map[string]any {
+	return map[string]any{"clockMs": w.clock().Milliseconds(), "born": w.born.UnixMilli()}
+}
+
+func (w *worker) extend(untilMs int64) {
+	until := min(time.Duration(untilMs)*time.Millisecond, w.clock()+maxHold)
+	w.leaseEnd = max(w.leaseEnd, until)
+}
+
+func (w *worker) start(_ http.ResponseWriter, _ *http.Request, c *workerCall) string {
+	late := time.Duration(c.UntilMs)*time.Millisecond <= w.clock()
+	if !late {
+		w.extend(c.UntilMs)
+	}
+	current := w.runs[c.Task]
+	if current != nil && current.number == c.Run {
+		return ""
+	}
+	if current != nil || c.Run <= w.highest[c.Task] {
+		return "old"
+	}
+	if late {
+		return "late"
+	}
+	var ms, cpu int
+	if _, err := fmt.Sscanf(c.Spec, "ms=%d cpu=%d", &ms, &cpu); err != nil {
+		w.log.printf("worker %s: bad spec %q", w.id, c.Spec)
+	}
+	used := cpu
+	for _, r := range w.runs {
+		used += r.cpu
+	}
+	if used > w.cpu {
+		return "room"
+	}
+	now := time.Now()
+	w.runs[c.Task] = &workerRun{number: c.Run, cpu: cpu, endsAt: now.Add(time.Duration(ms) * time.Millisecond), record: len(w.history)}
+	w.history = append(w.history, runRecord{task: c.Task, run: c.Run, worker: w.id, started: now})
+	w.log.printf("run %s #%d starts on %s", c.Task, c.Run, w.id)
+	return ""
+}
+
+func (w *worker) stop(_ http.ResponseWriter, _ *http.Request, c *workerCall) string {
+	if r := w.runs[c.Task]; r != nil && r.number <= c.Run && r.stopsAt.IsZero() {
+		r.stopsAt = time.Now().Add(stopTime)
+	}
+	w.highest[c.Task] = max(w.highest[c.Task], c.Run)
+	return ""
+}
+
+func (w *worker) hold(out http.ResponseWriter, r *http.Request, c *workerCall) string {
+	if c.UntilMs > 0 {
+		w.extend(c.UntilMs)
+	}
+	kept := w.ends[:0:0]
+	for _, e := range w.ends {
+		if e[0].(int) > c.LastSeen {
+			kept = append(kept, e)
+		}
+	}
+	w.ends = kept
+	timeout := time.After(time.Duration(min(c.WaitMs, 2000)) * time.Millisecond)
+	for waiting := c.WaitMs > 0; waiting && len(w.ends) == 0; {
+		changed := w.changed
+		w.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timeout:
+			waiting = false
+		case <-r.Context().Done():
+			waiting = false
+		}
+		w.mu.Lock()
+	}
+	a := w.answer()
+	running := [][]any{}
+	for task, run := range w.runs {
+		running = append(running, []any{task, run.number, "", 50, run.cpu})
+	}
+	ended := w.ends[:min(500, len(w.ends))]
+	if ended == nil {
+		ended = [][5]any{}
+	}
+	a["running"], a["ended"] = running, ended
+	writeJSON(out, http.StatusOK, a)
+	return "answered"
+}
+
+func (w *worker) tickLoop() {
+	for {
+		select {
+		case <-w.stopped:
+			return
+		case <-time.After(workerTick):
+		}
+		w.mu.Lock()
+		now, lapsed := time.Now(), w.clock() > w.leaseEnd
+		for task, r := range w.runs {
+			switch {
+			case lapsed:
+				w.end(task, r, "lapsed")
+			case !r.stopsAt.IsZero() && now.After(r.stopsAt):
+				w.end(task, r, "stopped")
+			case r.stopsAt.IsZero() && now.After(r.endsAt):
+				w.end(task, r, "done")
+			}
+		}
+		w.mu.Unlock()
+	}
+}
+
+// end needs the lock.
+func (w *worker) end(task string, r *workerRun, how string) {
+	delete(w.runs, task)
+	w.highest[task] = max(w.highest[task], r.number)
+	w.serial++
+	w.ends = append(w.ends, [5]any{w.serial, task, r.number, how, ""})
+	w.history[r.record].ended, w.history[r.record].how = time.Now(), how
+	w.log.printf("run %s #%d ends on %s: %s", task, r.number, w.id, how)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *worker) beatLoop() {
+	client := &http.Client{Timeout: time.Second}
+	for {
+		w.sequence++
+		body, _ := json.Marshal(map[string]any{
+			"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready",
+			"coldRemainingMs": 0, "capacity": map[string]int{"cpu": w.cpu, "memMb": 32768, "gpu": 0},
+			"labels": []string{"a", "r1-1"}, "clockMs": w.clock().Milliseconds(), "born": w.born.UnixMilli(), "sequence": w.sequence,
+		})
+		wait := beatInterval
+		response, err := client.Post("http://"+w.control+"/-/Instances.Heartbeat/"+w.id, "application/json", bytes.NewReader(body))
+		if err == nil {
+			_ = response.Body.Close()
+		} else {
+			wait = 200 * time.Millisecond
+		}
+		select {
+		case <-w.stopped:
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+// runsSeen returns all runs so far.
+func (w *worker) runsSeen() []runRecord {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]runRecord(nil), w.history...)
+}
