--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
@@ -170,3 +171,119 @@
 	}
 	return code
 }
+
+// cancelThenLateCopy cancels a job at the entry that has it. Seconds later a copy of the
+// request that submitted it arrives. It fails if a task starts too long after the cancel
+// was acknowledged.
+func cancelThenLateCopy(root string, log *record, trouble bool) (int, error) {
+	s, err := startSite(root, log, 2, 2, 16_000, route())
+	defer s.close()
+	if err != nil {
+		return notRun, err
+	}
+	id, body := newID(), jobBody(4000, 1600, 2)
+	post := func(to *node) {
+		log.printf("POST %s to %s", id, to.name)
+		status, text, err := call("POST", to.front(), routePrefix+id, body, 20*time.Second)
+		log.printf("answer to POST %s: status %d, body %s, error %v", id, status, text, err)
+	}
+	var wait sync.WaitGroup
+	wait.Go(func() { post(s.entries[0]) })
+	time.Sleep(time.Second)
+	ackedAt, status, err := s.cancel(s.entries[0], id)
+	if err != nil || status/100 != 2 {
+		return notRun, fmt.Errorf("cancel: status %d, error %v", status, err)
+	}
+	time.Sleep(cancelBound + 500*time.Millisecond)
+	if trouble {
+		log.printf("a copy of the request arrives")
+		wait.Go(func() { post(s.entries[0]) })
+	}
+	wait.Wait()
+	return s.checkCancelled(id, ackedAt), nil
+}
+
+const (
+	// drainBound is the platform's drainMs.
+	drainBound = 2 * time.Second
+	// watchedAfterDrain is how long runs are watched after the worker's drain was
+	// acknowledged. The worker goes on to serve all the while.
+	watchedAfterDrain = 6 * time.Second
+)
+
+// foreignHeartbeat sends an agent a heartbeat of another writer, which names no worker to
+// use. Then its worker drains. It fails if a task starts on the worker too long after the
+// agent has acknowledged that.
+func foreignHeartbeat(root string, log *record, trouble bool) (int, error) {
+	s, err := startSite(root, log, 2, 2, 16_000, route())
+	defer s.close()
+	if err != nil {
+		return notRun, err
+	}
+	w := s.workers[0]
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	for i := range s.entries {
+		wait.Go(func() { s.submitSteadily(s.entries[i], stop) })
+	}
+	time.Sleep(time.Second)
+	if trouble {
+		beat := w.heartbeat(false, 1000)
+		delete(beat, "zone")
+		beat["slots"] = "eight"
+		body, _ := json.Marshal(beat)
+		status, text, err := call("POST", w.control, "/-/Instances.Heartbeat/"+w.id, body, time.Second)
+		log.printf("heartbeat of another writer, without zone and with slots of another type: status %d, body %s, error %v", status, text, err)
+	}
+	time.Sleep(4 * time.Second)
+	w.drain()
+	time.Sleep(watchedAfterDrain)
+	close(stop)
+	wait.Wait()
+	w.mu.Lock()
+	ackedAt := w.drainAckedAt
+	w.mu.Unlock()
+	if ackedAt.IsZero() {
+		log.printf("the agent has not acknowledged that the worker drains")
+		return ruleHeld, nil
+	}
+	before, late := 0, 0
+	for _, r := range w.runsSeen() {
+		if r.started.Before(ackedAt) {
+			before++
+		} else if r.started.Sub(ackedAt) > drainBound {
+			if late == 0 {
+				log.printf("DRAIN: %s starts on %s %d ms after the acknowledgement", r.task, w.id, r.started.Sub(ackedAt).Milliseconds())
+			}
+			late++
+		}
+	}
+	summary := fmt.Sprintf("%d starts on the worker before the acknowledgement, %d later than drainMs after it", before, late)
+	log.printf("%s", summary)
+	fmt.Println(summary)
+	if before == 0 {
+		return notRun, fmt.Errorf("the worker got no work before it drained")
+	}
+	if late > 0 {
+		return ruleBroken, nil
+	}
+	return ruleHeld, nil
+}
+
+// submitSteadily submits short jobs to an entry until stop is closed.
+func (s *site) submitSteadily(to *node, stop <-chan struct{}) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+		wait.Go(func() {
+			id := newID()
+			status, _, err := call("POST", to.front(), routePrefix+id, jobBody(50, 1600, 4), 2*time.Second)
+			s.log.printf("job %s at %s: status %d, error %v", id, to.name, status, err)
+		})
+	}
+}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -21,8 +21,10 @@
 const watchdog = 110 * time.Second
 
 var cases = map[string]func(root string, log *record, trouble bool) (int, error){
-	"planned-stop":     plannedStop,
-	"cancel-elsewhere": cancelElsewhere,
+	"planned-stop":          plannedStop,
+	"cancel-elsewhere":      cancelElsewhere,
+	"cancel-then-late-copy": cancelThenLateCopy,
+	"foreign-heartbeat":     foreignHeartbeat,
 }
 
 func main() {
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -38,8 +38,13 @@
 	leaseEnd time.Duration
 	changed  chan struct{}
 	sequence int
-	stopped  chan struct{}
-	history  []runRecord
+	draining bool
+	// drainAckedAt is when the agent first acknowledged that the worker drains.
+	drainAckedAt time.Time
+	// beatNow makes beatLoop send the next heartbeat at once.
+	beatNow chan struct{}
+	stopped chan struct{}
+	history []runRecord
 }
 
 type workerRun struct {
@@ -62,7 +67,7 @@
 func startWorker(w *worker, listen string) error {
 	w.born = time.Now()
 	w.runs, w.highest = map[string]*workerRun{}, map[string]uint64{}
-	w.changed, w.stopped = make(chan struct{}), make(chan struct{})
+	w.changed, w.stopped, w.beatNow = make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/run-start", w.handle(w.start))
 	mux.HandleFunc("POST /-/run-stop", w.handle(w.stop))
@@ -253,27 +258,58 @@
 func (w *worker) beatLoop() {
 	client := &http.Client{Timeout: time.Second}
 	for {
+		w.mu.Lock()
 		w.sequence++
-		body, _ := json.Marshal(map[string]any{
-			"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready",
-			"coldRemainingMs": 0, "capacity": map[string]int{"cpu": w.cpu, "memMb": 32768, "gpu": 0},
-			"labels": []string{"a", "r1-1"}, "clockMs": w.clock().Milliseconds(), "born": w.born.UnixMilli(), "sequence": w.sequence,
-		})
+		draining := w.draining
+		body, _ := json.Marshal(w.heartbeat(draining, w.sequence))
+		w.mu.Unlock()
 		wait := beatInterval
 		response, err := client.Post("http://"+w.control+"/-/Instances.Heartbeat/"+w.id, "application/json", bytes.NewReader(body))
-		if err == nil {
-			_ = response.Body.Close()
-		} else {
+		if err != nil {
 			wait = 200 * time.Millisecond
+		} else {
+			_ = response.Body.Close()
+			w.noteAnswer(draining, response.StatusCode)
 		}
 		select {
 		case <-w.stopped:
 			return
+		case <-w.beatNow:
 		case <-time.After(wait):
 		}
 	}
 }
 
+func (w *worker) heartbeat(draining bool, sequence int) map[string]any {
+	beat := map[string]any{
+		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready",
+		"coldRemainingMs": 0, "capacity": map[string]int{"cpu": w.cpu, "memMb": 32768, "gpu": 0},
+		"labels": []string{"a", "r1-1"}, "clockMs": w.clock().Milliseconds(), "born": w.born.UnixMilli(), "sequence": sequence,
+	}
+	if draining {
+		beat["state"], beat["remainingMs"] = "draining", 10_000
+	}
+	return beat
+}
+
+func (w *worker) noteAnswer(draining bool, status int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if draining && status/100 == 2 && w.drainAckedAt.IsZero() {
+		w.drainAckedAt = time.Now()
+		w.log.printf("worker %s: draining is acknowledged with %d", w.id, status)
+	}
+}
+
+// drain makes the worker report that it drains. It goes on to serve.
+func (w *worker) drain() {
+	w.mu.Lock()
+	w.draining = true
+	w.mu.Unlock()
+	w.log.printf("worker %s drains", w.id)
+	w.beatNow <- struct{}{}
+}
+
 // runsSeen returns all runs so far.
 func (w *worker) runsSeen() []runRecord {
 	w.mu.Lock()
