--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -282,7 +282,7 @@
 		}
 		wait.Go(func() {
 			id := newID()
-			status, _, err := call("POST", to.front(), routePrefix+id, jobBody(50, 1600, 4), 2*time.Second)
+			status, _, err := call("POST", to.front(), routePrefix+id, jobBody(100, 1600, 6), 2*time.Second)
 			s.log.printf("job %s at %s: status %d, error %v", id, to.name, status, err)
 		})
 	}
