An agent reports the first open grant on an idle link at once

Callers saw nothing of it but delay: the entry closed links on which a grant was open as silent (1022), the agent stopped the run or dropped its result, and the task was run again. Cause: the pace of an agent's heartbeats, and the flag busy in them, follow the last message that was sent. A grant that starts on a credit or waits for slots sent none, so heartbeats stayed at 600 ms and said that the agent is not busy, which an entry with an open grant does not count as a sign of life. Nor was the entry's prompt confirmation of the next message ever prompt. Change: a message goes to the entry when its first grant on the link is open. Evidence: TestFirstOpenGrantOnAnIdleLinkIsReportedAtOnce failed before in both cases (no message).

--- a/internal/agent/pace_test.go
+++ b/internal/agent/pace_test.go
@@ -94,3 +94,29 @@
 	h.advanceTo(h.now.Add(time.Second))
 	h.Equal(h.core.links[0].openGrants, 0) // the run is orphaned
 }
+
+// Until the agent says that it is busy, the entry takes its messages for those of an agent
+// that has not got the grant, and heartbeats keep the slow pace.
+func TestFirstOpenGrantOnAnIdleLinkIsReportedAtOnce(t *testing.T) {
+	t.Run("started on a credit", func(t *testing.T) {
+		h := newPacedHarness(t)
+		h.sent(0)
+		h.sendGrant(0, 1)
+		h.Equal(h.startedJobs(), []uint64{1})
+		messages := h.sent(0)
+		h.Equal(len(messages), 1)
+		h.True(messages[0].Busy)
+		h.sendGrant(0, 2)
+		h.Equal(len(h.sent(0)), 0) // the entry knows
+	})
+	t.Run("waits for slots", func(t *testing.T) {
+		h := newPacedHarness(t)
+		h.sendQueuedGrant(1, 1, 20, time.Second)
+		h.sent(0)
+		h.sendQueuedGrant(0, 2, 20, time.Second)
+		h.Equal(h.core.links[0].openGrants, 1)
+		messages := h.sent(0)
+		h.Equal(len(messages), 1)
+		h.True(messages[0].Busy)
+	})
+}
--- a/internal/agent/queue_test.go
+++ b/internal/agent/queue_test.go
@@ -184,6 +184,12 @@
 	return id
 }
 
+// sendGrant delivers a grant of one slot that uses a credit of entry 0 or 1.
+func (h *harness) sendGrant(entry int, job uint64) {
+	id := structs.GrantID{Owner: structs.Incarnation(entry + 1), Job: job, Attempt: 1}
+	h.step(&EntryMessage{Link: h.links[entry], Message: &structs.FromEntry{Grants: []structs.Grant{{ID: id, Slots: 1}}}})
+}
+
 // startedJobs returns the jobs of all started tasks in the order of their starts.
 func (h *harness) startedJobs() []uint64 {
 	var jobs []uint64
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -45,6 +45,7 @@
 	switch after := r.open(); {
 	case after && !before:
 		r.link.openGrants++
+		c.reportFirstOpen(r.link)
 	case before && !after:
 		r.link.openGrants--
 	}
@@ -53,6 +54,15 @@
 	}
 }
 
+// reportFirstOpen prepares a message to an entry whose first grant on an idle link is
+// open now. Until it arrives, heartbeats keep the slow pace and say that the agent is not
+// busy, so that the entry takes the grant for lost.
+func (c *Core) reportFirstOpen(l *link) {
+	if l.paced && l.established && l.openGrants == 1 {
+		l.outgoingMessage()
+	}
+}
+
 // open reports whether the run's entry has to hear of it before it may be repeated
 // elsewhere: it is queued, or has been handed to the endpoint and has not ended.
 func (r *run) open() bool {
