An entry counts the silence of a link anew when it goes over to the slow pace

Cause: silence is counted in heartbeat periods. The agent keeps to the slow pace (600 to 700 ms) from its last result on, the entry from the next scan of the sessions, up to 100 ms later. Two fast periods of 150 ms that end by then were counted with a slow one of 300 to 900 ms, so the link was closed up to 200 ms before the agent's next heartbeat. Change: chart inbound restarts the count at the end of the first period in which the link was relaxed. Evidence: TestLinkIsNotClosedBetweenTheFastAndTheSlowPace failed before.

--- a/internal/entryd/link.go
+++ b/internal/entryd/link.go
@@ -77,6 +77,8 @@
 	paced bool
 	// confirmNext is set if the agent's next frame is to be confirmed at once.
 	confirmNext bool
+	// fastPeriod is set if the present heartbeat period is one of the faster pace.
+	fastPeriod bool
 	// heartbeatTimer fires at the end of each heartbeat period.
 	heartbeatTimer *time.Timer
 	server         *linkServer
@@ -91,6 +93,7 @@
 		"silent": func(l *link) bool {
 			return l.silentPeriods >= cmp.Or(l.server.options.silentPeriods, defaultSilentPeriods)-1
 		},
+		"slowed_down":   func(l *link) bool { return l.fastPeriod && !l.busy.Load() },
 		"sent_recently": (*link).sentRecently,
 		"unchanged": func(l *link) bool {
 			return l.received.Idle == l.forwardedIdle && l.received.Waiting == l.forwardedWaiting && l.received.Revision == l.forwardedRevision
@@ -102,6 +105,7 @@
 		"forward":            (*link).forward,
 		"forward_close":      (*link).forwardClose,
 		"count_heartbeat":    func(l *link) { l.server.unchangedHeartbeats.Add(1) },
+		"restart_silence":    func(l *link) { l.silentPeriods = 0 },
 		"begin_period":       (*link).beginPeriod,
 		"send_heartbeat":     (*link).sendHeartbeat,
 		"stop_timer":         (*link).stopHeartbeatTimer,
@@ -140,6 +144,7 @@
 func newLink(id dispatch.LinkID, conn gnet.Conn, server *linkServer) *link {
 	l := &link{id: id, conn: conn, server: server, inbox: server.inbox, log: server.log, state: inboundChart.Initial(), unsentPeriods: 1}
 	l.busy.Store(true)
+	l.fastPeriod = true
 	l.heartbeatTimer = time.AfterFunc(l.untilHeartbeat(time.Now()), func() { l.runInLoop(l.periodElapsed) })
 	return l
 }
@@ -170,8 +175,9 @@
 	return l.server.options.idlePeriod
 }
 
-// relax lets the link go over to the slower pace at its next heartbeat. Only the core
-// actor calls it.
+// relax lets the link go over to the slower pace at the end of the present period. The
+// agent has kept to that pace since its last result, so its silence is counted anew from
+// there. Only the core actor calls it.
 func (l *link) relax() {
 	if l.server.options.idlePeriod > 0 {
 		l.busy.Store(false)
@@ -184,9 +190,16 @@
 func (l *link) hasten() {
 	l.silentPeriods = 0
 	l.confirmNext = true
-	if l.state == inboundStates.Opened || l.state == inboundStates.Established {
-		l.heartbeatTimer.Reset(l.untilHeartbeat(time.Now()))
+	l.startPeriod()
+}
+
+// startPeriod starts the timer of the next heartbeat period, at the pace that applies now.
+func (l *link) startPeriod() {
+	if l.state != inboundStates.Opened && l.state != inboundStates.Established {
+		return
 	}
+	l.fastPeriod = l.busy.Load()
+	l.heartbeatTimer.Reset(l.untilHeartbeat(time.Now()))
 }
 
 // sentRecently reports whether no heartbeat is due at the end of a period.
@@ -326,9 +339,7 @@
 // periodElapsed is called at the end of each heartbeat period.
 func (l *link) periodElapsed() {
 	l.fire(inboundEvents.PeriodElapsed)
-	if l.state == inboundStates.Opened || l.state == inboundStates.Established {
-		l.heartbeatTimer.Reset(l.untilHeartbeat(time.Now()))
-	}
+	l.startPeriod()
 }
 
 // beginPeriod begins the next heartbeat period.
--- a/internal/entryd/pace_test.go
+++ b/internal/entryd/pace_test.go
@@ -94,3 +94,23 @@
 	}
 	is.True(!conn.closed)
 }
+
+// The agent goes over to the slow pace with its result, the entry only after the next scan.
+// Fast periods that have passed in between are no silence of a slow agent.
+func TestLinkIsNotClosedBetweenTheFastAndTheSlowPace(t *testing.T) {
+	is := is.New(t)
+	conn := &stubConn{}
+	l := pacedLink(conn)
+	defer l.stopHeartbeatTimer()
+	l.handle(is, &structs.FromAgent{Results: []structs.Result{{}}})
+	for range defaultSilentPeriods - 1 {
+		l.periodElapsed()
+	}
+	l.relax()
+	for range defaultSilentPeriods - 1 { // as on a link that has been slow for long
+		l.periodElapsed()
+		is.True(!conn.closed)
+	}
+	l.periodElapsed()
+	is.True(conn.closed)
+}
