An agent that refuses grants is left alone for a while

Callers' tasks were late while a worker was down, and entries and agents busy with nothing: among many entries a grant that must not wait and was refused because the endpoint is down, leaves or can take no more went back to the same agent at the rate of the round trip. A soak on real processes showed 10,000 grants a second from one entry to one agent, and tasks with over 500 attempts. Cause: only a refusal for want of room counted as a try, and the pause after other refusals held for grants that may wait only. Change: any refusal counts, and no grant without a credit is sent during the pause. Evidence: TestAgentThatRefusesGrantsIsLeftAloneForAWhile failed before (at its first reason, where it stops).

--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -90,6 +90,9 @@
 	if t.queuedAtAgent && t.state == taskStates.Granted {
 		s.queuePausedUntil = c.now.Add(queueRetryDelay)
 	}
+	if t.mustNotWait {
+		c.recordRefusedTry(s, t)
+	}
 	switch reason {
 	case structs.QueueFull:
 		c.fireHealth(s, healthEvents.Returned)
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -49,7 +49,7 @@
 	return float64(p.sessions[0].slots) < p.usualNeed*float64(len(c.peers))
 }
 
-// recordRefusedTry records that an agent had no room for the task.
+// recordRefusedTry records that an agent could not start the task at once.
 func (c *Core) recordRefusedTry(s *session, t *task) {
 	t.tries++
 	s.refusedAt = c.now
@@ -86,7 +86,7 @@
 func (c *Core) prospects(p *pool) prospects {
 	v := prospects{credits: p.freeCredits(), mayBind: p.slotsAtAgents < c.evenShare(p)}
 	for _, s := range p.sessions {
-		if !s.acceptsDemand() && s.health != healthStates.Trial {
+		if (!s.acceptsDemand() && s.health != healthStates.Trial) || c.refusesGrants(s) {
 			continue
 		}
 		v.mostRoom = max(v.mostRoom, s.room())
@@ -169,7 +169,7 @@
 func (c *Core) chooseAgain(t *task) *session {
 	s := t.unconfirmedAt
 	t.unconfirmedAt = nil
-	if s == nil || s.link == 0 || !s.canRun(t) || s.room() < s.slotsFor(t.needs) {
+	if s == nil || s.link == 0 || !s.canRun(t) || c.refusesGrants(s) || s.room() < s.slotsFor(t.needs) {
 		return nil
 	}
 	return s
@@ -192,7 +192,9 @@
 // workers that have room for the task, or nil. A first try goes to a worker of the
 // entry's own data centre if one has room.
 func (c *Core) chooseWithRoom(p *pool, t *task) *session {
-	hasRoom := func(s *session) bool { return s.canRun(t) && s != t.avoidedWorker && s.room() >= s.slotsFor(t.needs) }
+	hasRoom := func(s *session) bool {
+		return s.canRun(t) && s != t.avoidedWorker && !c.refusesGrants(s) && s.room() >= s.slotsFor(t.needs)
+	}
 	if t.tries == 0 {
 		isNear := func(s *session) bool { return s.dataCentre == c.self.DataCentre && hasRoom(s) }
 		if s := c.chooseAmongFastest(p, t, isNear, (*session).room); s != nil {
@@ -211,9 +213,13 @@
 
 // mayBeTried reports whether a grant may be sent to a worker of which no room is known.
 func (c *Core) mayBeTried(s *session) bool {
-	return s.unansweredSlots == 0 && c.now.Sub(s.refusedAt) >= retryWorkerAfter
+	return s.unansweredSlots == 0 && c.now.Sub(s.refusedAt) >= retryWorkerAfter && !c.refusesGrants(s)
 }
 
+// refusesGrants reports whether the agent has lately refused a grant without a credit for
+// another reason than want of room, so that the room that it reports can't be taken.
+func (c *Core) refusesGrants(s *session) bool { return c.now.Before(s.queuePausedUntil) }
+
 // chooseQueue returns the worker where less waits of two at random, among the fastest
 // workers where the task may wait, or nil.
 func (c *Core) chooseQueue(p *pool, t *task) *session {
--- a/internal/dispatch/spread_test.go
+++ b/internal/dispatch/spread_test.go
@@ -96,6 +96,25 @@
 	h.Equal(second.ID.Attempt, g.ID.Attempt+1)
 }
 
+// refuseFor refuses a grant for another reason than want of room.
+func (h *harness) refuseFor(reason structs.RefusalReason, link LinkID, id structs.GrantID) {
+	h.step(&AgentMessage{Link: link, Message: &structs.FromAgent{Idle: 40, Refusals: []structs.Refusal{{Grant: id, Reason: reason}}}})
+}
+
+// Load pattern: a worker is down, or its agent takes no more results, and still has room. A
+// task must not go to and fro between its entry and that agent.
+func TestAgentThatRefusesGrantsIsLeftAloneForAWhile(t *testing.T) {
+	for _, reason := range []structs.RefusalReason{structs.EndpointDown, structs.EndpointUnreachable, structs.EndpointFull, structs.BufferFull, structs.AgentLeaving} {
+		h := newCrowdedHarness(t, 1)
+		h.runJob("j", 1, 1000)
+		link, g := h.takeOnlyGrant()
+		h.refuseFor(reason, link, g.ID)
+		h.Equal(len(h.takeGrants()), 0)
+		h.advance(queueRetryDelay / 2)
+		h.Equal(len(h.takeGrants()), 0)
+	}
+}
+
 // An agent deducts no credits of a grant that it refuses on arrival.
 func TestCreditsOfAnUnconfirmedGrantAreReturned(t *testing.T) {
 	h := newTimedHarness(t)
