Room beside a refusal for want of room is not counted on

A soak on real processes showed 231 grants of one task to the same agent within 33 ms, each refused for want of room beside a report of enough room. Cause: an agent counts credits that other entries leave idle as room, and keeps them for a large grant that has waited there for long; the entry believed the report. Change: what an agent reports in the message of a refusal counts as less than the smallest grant refused in it. Its next message counts in full. Evidence: TestRoomThatWasRefusedIsNotCountedOn failed before.

--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -59,12 +59,16 @@
 }
 
 func (c *Core) handleRefusals(s *session, refusals []structs.Refusal) {
+	s.refusedSlots = 0
 	for _, r := range refusals {
 		c.stats.Messages.Refusals++
 		t := s.granted[r.Grant]
 		if t == nil {
 			continue
 		}
+		if r.Reason == structs.NoRoom && (s.refusedSlots == 0 || t.slots < s.refusedSlots) {
+			s.refusedSlots = t.slots
+		}
 		c.applyRefusal(s, t, r.Reason)
 		c.fireTask(t, taskEvents.Refused, nil, nil)
 	}
@@ -125,6 +129,10 @@
 // handleCredits applies the credits that the agent offered and revoked.
 func (c *Core) handleCredits(s *session, m *structs.FromAgent) {
 	s.idleSlots = m.Idle
+	if s.refusedSlots > 0 {
+		// The agent keeps what it reports beyond this for a grant that waits there.
+		s.idleSlots = min(s.idleSlots, uint32(s.refusedSlots-1))
+	}
 	s.slotsWaiting = m.Waiting
 	if s.state != sessionStates.Up {
 		return
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -60,8 +60,10 @@
 	// unansweredSlots is the number of slots of the grants that must not wait and that
 	// the agent has neither started nor refused yet.
 	unansweredSlots int
-	// refusedAt is when the agent last refused a grant for want of room.
-	refusedAt time.Time
+	// refusedAt is when the agent last refused a grant that must not wait, refusedSlots the
+	// size of the smallest one that its latest message refuses for want of room.
+	refusedAt    time.Time
+	refusedSlots int
 	// openDemand is the demand last sent, less the credits offered since.
 	// demandSentAt is the time at which it was sent.
 	openDemand   structs.Demand
--- a/internal/dispatch/spread_test.go
+++ b/internal/dispatch/spread_test.go
@@ -115,6 +115,18 @@
 	}
 }
 
+// Load pattern: a large grant waits at the agent, which keeps room for it that it counts
+// as idle.
+func TestRoomThatWasRefusedIsNotCountedOn(t *testing.T) {
+	h := newCrowdedHarness(t, 1)
+	h.runJob("j", 1, 1000)
+	link, g := h.takeOnlyGrant()
+	h.refuse(link, g.ID, 40)
+	h.Equal(len(h.takeGrants()), 0)
+	h.step(&AgentMessage{Link: link, Message: &structs.FromAgent{Idle: 40}})
+	h.takeOnlyGrant() // the agent says again that there is room
+}
+
 // An agent deducts no credits of a grant that it refuses on arrival.
 func TestCreditsOfAnUnconfirmedGrantAreReturned(t *testing.T) {
 	h := newTimedHarness(t)
