A session goes on over a break of an idle link

Cause: the grace for the entry ends early by the age of the newest confirmation, which is older than the whole grace on an idle link, so a new session began before the redial. Change: the grace is cut only while a grant is open; without one nothing can outlive the entry. Evidence: TestSessionGoesOnIfAnIdleLinkBreaks failed before (session 3 in place of 1).

--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -201,10 +201,11 @@
 
 // startGrace starts the time after which the entry's runs are abandoned. The entry
 // has heard nothing since the newest confirmed message, so its own time for the
-// agent may have started long before this.
+// agent may have started long before this. That matters only for open grants; without
+// them there may be results to send again.
 func (c *Core) startGrace(l *link) {
 	l.graceEnd = c.now.Add(c.tuning.EntryGrace)
-	if l.confirmedAt.IsZero() {
+	if l.confirmedAt.IsZero() || l.openGrants == 0 {
 		return
 	}
 	longest := max(c.tuning.ConfirmTimeout+reconnectTime, c.tuning.SilenceTimeout+c.tuning.EntryGrace)
--- a/internal/agent/pace_test.go
+++ b/internal/agent/pace_test.go
@@ -95,6 +95,25 @@
 	h.Equal(h.core.links[0].openGrants, 0) // the run is orphaned
 }
 
+// Nothing runs that the entry may repeat, and a result that was under way is sent again.
+func TestSessionGoesOnIfAnIdleLinkBreaks(t *testing.T) {
+	h := newPacedHarness(t)
+	id := h.sendQueuedGrant(0, 1, 4, time.Second)
+	h.step(&TaskExited{Grant: id, Outcome: structs.Succeeded})
+	session := h.core.links[0].session
+	h.advanceTo(h.now.Add(1700 * time.Millisecond)) // the confirmation is old
+	link := h.greet()
+	h.Equal(h.core.links[0].session, session)
+	h.welcome(link)
+	results := 0
+	for _, e := range h.effects {
+		if send, ok := e.(*Send); ok && send.Link == link {
+			results += len(send.Message.Results)
+		}
+	}
+	h.Equal(results, 1)
+}
+
 // Until the agent says that it is busy, the entry takes its messages for those of an agent
 // that has not got the grant, and heartbeats keep the slow pace.
 func TestFirstOpenGrantOnAnIdleLinkIsReportedAtOnce(t *testing.T) {
