The time for which a request waits at a busy entry counts as its caller's wait

Cause: a job's lifetime was the caller's wait from the moment at which the dispatcher took the request out of its inbox. Change: it counts from when the front end had read the request. A request whose caller waits no more is refused as not run. Evidence: TestTimeInTheInboxCountsAsTheCallersWait failed before (the late request was granted).

--- a/internal/dispatch/attached.go
+++ b/internal/dispatch/attached.go
@@ -36,7 +36,7 @@
 		c.refuse(m.Reply, f)
 		return
 	}
-	j := c.newJob(m.Submission.Team, m.Submission.Service, c.now.Add(m.MaxWait))
+	j := c.newJob(m.Submission.Team, m.Submission.Service, c.callerLeavesAt(m))
 	j.attached = true
 	j.name = m.Submission.Name
 	j.requestID = m.Submission.RequestID
@@ -52,6 +52,9 @@
 	if f := checkSteps(&m.Submission); f != nil {
 		return f
 	}
+	if !c.now.Before(c.callerLeavesAt(m)) {
+		return failure.Newf(failure.Overloaded, failure.NotRun, "the request waited %v at this entry, and its caller waits for %v", c.now.Sub(m.ReceivedAt), m.MaxWait)
+	}
 	if c.leaving() && !c.endsBeforeExit(m) {
 		return drainingFailure()
 	}
@@ -64,6 +67,15 @@
 	return nil
 }
 
+// callerLeavesAt returns when the caller stops to wait. It may then send its job elsewhere,
+// so the time for which the request waited here counts.
+func (c *Core) callerLeavesAt(m *RunJob) time.Time {
+	if m.ReceivedAt.IsZero() {
+		return c.now.Add(m.MaxWait)
+	}
+	return m.ReceivedAt.Add(m.MaxWait)
+}
+
 // endsBeforeExit reports whether a job that arrives at a draining entry is
 // expected to end before the entry has to exit, with a wide margin for estimation
 // errors.
--- a/internal/dispatch/attached_test.go
+++ b/internal/dispatch/attached_test.go
@@ -461,3 +461,23 @@
 		h.Equal(lastEffect[*Refused](h).Failure.Kind, failure.Invalid)
 	}
 }
+
+// The caller does not wait longer because its request has waited at a busy entry.
+func TestTimeInTheInboxCountsAsTheCallersWait(t *testing.T) {
+	h := newTimedHarness(t)
+	h.connectDividedWorker(1, 1, 40)
+	submit := func(name string, waited time.Duration) {
+		h.lastReply++
+		s := structs.Submission{Name: name, Team: "a", Service: "s", Tasks: []structs.Task{{Kind: "k", Declared: 100 * time.Millisecond, Name: name}}}
+		h.step(&RunJob{Reply: h.lastReply, Submission: s, MaxWait: time.Second, ReceivedAt: h.now.Add(-waited)})
+	}
+	submit("late", time.Second)
+	h.Equal(len(h.takeGrants()), 0) // the caller may have sent it elsewhere
+	submit("j", 400*time.Millisecond)
+	granted := h.takeGrants()
+	h.Equal(len(granted), 1)
+	h.advance(590 * time.Millisecond)
+	h.Equal(h.core.sessions["w1"].granted[granted[0].ID].state, taskStates.Granted)
+	h.advance(10 * time.Millisecond)
+	h.Equal(h.core.sessions["w1"].granted[granted[0].ID].state, taskStates.Stopping)
+}
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -55,8 +55,10 @@
 	// resubmission of that job.
 	Submission structs.Submission
 	// MaxWait is how long the caller waits for the answer. It becomes the job's
-	// lifetime.
+	// lifetime, from ReceivedAt on.
 	MaxWait time.Duration
+	// ReceivedAt is when the front end had read the request; zero means now.
+	ReceivedAt time.Time
 }
 
 // FindNamedJob looks up the open job of a RunJob by its name, and cancels it if
--- a/internal/entryd/gateway.go
+++ b/internal/entryd/gateway.go
@@ -43,8 +43,9 @@
 // caller has disconnected, and the job is cancelled unless another caller waits
 // for it.
 func (g *Gateway) Run(s structs.Submission, waitLimit time.Duration, callerGone <-chan time.Time) (structs.Answer, *failure.Failure) {
+	receivedAt := time.Now()
 	return g.ask(func(id dispatch.ReplyID) dispatch.Message {
-		return &dispatch.RunJob{Reply: id, Submission: s, MaxWait: waitLimit}
+		return &dispatch.RunJob{Reply: id, Submission: s, MaxWait: waitLimit, ReceivedAt: receivedAt}
 	}, callerGone)
 }
 
