Entry: 1001 to 1005 and 1022 say what became of the grants, and why a link ended

What callers saw: none of this; operators could not tell from the logs whether a task that ran twice had followed from a reconnection, a new session or silence. Cause: the lines of links and sessions gave the endpoint alone, and 1003 was logged for a new session of the same agent as for a new incarnation. Change: 1022 gives the age of the last frame and of the last sign of life, the pace of the period that ended, the limit and whether grants may be open; 1002 the grants that become uncertain and what ended the link; 1001 whether the session goes on and how many grants were listed, unlisted and given up; 1003 its cause and the lost grants; 1005 the lost grants. event.Field takes the place of dispatch.Field, so that the agent's core can use it. No decision changes, and no line is added.

--- a/internal/dispatch/catchup.go
+++ b/internal/dispatch/catchup.go
@@ -93,7 +93,7 @@
 
 func (u *catchUp) reportBehind() {
 	s := u.mostRecent()
-	u.core.emit(&LogEvent{Event: event.ConfigurationBehind, Endpoint: s.endpoint, Fields: []Field{
+	u.core.emit(&LogEvent{Event: event.ConfigurationBehind, Endpoint: s.endpoint, Fields: []event.Field{
 		{Name: "revision", Value: int64(u.core.revision())}, {Name: "reported", Value: int64(s.revision)},
 	}})
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -206,8 +206,8 @@
 }
 
 // logEvent emits an event for the log.
-func (c *Core) logEvent(id event.ID, endpoint, detail string) {
-	c.emit(&LogEvent{Event: id, Endpoint: endpoint, Detail: detail})
+func (c *Core) logEvent(id event.ID, endpoint, detail string, fields ...event.Field) {
+	c.emit(&LogEvent{Event: id, Endpoint: endpoint, Detail: detail, Fields: fields})
 }
 
 // configure puts a document in force if it is newer than the current one, and
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -258,10 +258,10 @@
 	c.recordTaskStart(t)
 	c.fireTask(t, taskEvents.Grant, s, nil)
 	c.fireHealth(s, healthEvents.Granted)
-	c.logTask(event.TaskGranted, t, s, "", intField("attempt", int(t.attempt)), intField("slots", t.slots), intField("queued", s.queuedGrants),
-		intField("idle_slots", int(s.idleSlots)), intField("tries", t.tries),
-		intField("credits_left", s.credits.any), millisField("waited_ms", c.now.Sub(t.queuedAt)), millisField("estimate_ms", t.declaredRunTime),
-		Field{Name: "slowness_percent", Value: int64(100 * math.Exp(s.logSlowness))})
+	c.logTask(event.TaskGranted, t, s, "", event.Int("attempt", int(t.attempt)), event.Int("slots", t.slots), event.Int("queued", s.queuedGrants),
+		event.Int("idle_slots", int(s.idleSlots)), event.Int("tries", t.tries),
+		event.Int("credits_left", s.credits.any), event.Millis("waited_ms", c.now.Sub(t.queuedAt)), event.Millis("estimate_ms", t.declaredRunTime),
+		event.Field{Name: "slowness_percent", Value: int64(100 * math.Exp(s.logSlowness))})
 	m := s.outgoingMessage()
 	m.Grants = append(m.Grants, structs.Grant{
 		ID: t.grantID(), Service: t.job.service, Kind: t.kind.name, Long: t.lane.long, Reserved: t.reserved,
--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -13,14 +13,14 @@
 // name them, so that the log can be searched from the name to the cause of a
 // failure.
 
-func (c *Core) logJob(id event.ID, j *job, detail string, fields ...Field) {
+func (c *Core) logJob(id event.ID, j *job, detail string, fields ...event.Field) {
 	if !j.attached {
 		return
 	}
 	c.emit(&LogEvent{Event: id, Job: j.id, Request: j.name, RequestID: j.requestID, Detail: detail, Fields: fields})
 }
 
-func (c *Core) logTask(id event.ID, t *task, s *session, detail string, fields ...Field) {
+func (c *Core) logTask(id event.ID, t *task, s *session, detail string, fields ...event.Field) {
 	if !t.job.attached {
 		return
 	}
@@ -29,17 +29,11 @@
 	})
 }
 
-func intField(name string, value int) Field { return Field{Name: name, Value: int64(value)} }
-
-func millisField(name string, d time.Duration) Field {
-	return Field{Name: name, Value: d.Milliseconds()}
-}
-
 // loadFields returns the load figures on which admission control decides.
-func (c *Core) loadFields(p *pool) []Field {
-	return []Field{
-		intField("workers", len(p.sessions)), intField("slots_free", p.freeCredits()), intField("slots_busy", p.busySlots),
-		intField("slots_waiting", p.slotsWaiting()), {Name: "revision", Value: int64(c.revision())},
+func (c *Core) loadFields(p *pool) []event.Field {
+	return []event.Field{
+		event.Int("workers", len(p.sessions)), event.Int("slots_free", p.freeCredits()), event.Int("slots_busy", p.busySlots),
+		event.Int("slots_waiting", p.slotsWaiting()), {Name: "revision", Value: int64(c.revision())},
 	}
 }
 
@@ -47,8 +41,8 @@
 	if !j.attached {
 		return
 	}
-	fields := append(c.loadFields(p), intField("tasks", len(j.tasks)), millisField("start_in_ms", p.startWithin(j, c.now)),
-		millisField("deadline_in_ms", j.deadline.Sub(c.now)))
+	fields := append(c.loadFields(p), event.Int("tasks", len(j.tasks)), event.Millis("start_in_ms", p.startWithin(j, c.now)),
+		event.Millis("deadline_in_ms", j.deadline.Sub(c.now)))
 	c.logJob(event.JobAccepted, j, "", fields...)
 }
 
@@ -73,7 +67,7 @@
 	if j.failure != nil {
 		id, detail = event.JobFailed, j.failure.Error()
 	}
-	c.logJob(id, j, detail, millisField("took_ms", c.now.Sub(j.acceptedAt)), intField("done", j.tasksDone), intField("waiting", waiting), intField("tasks", len(j.tasks)))
+	c.logJob(id, j, detail, event.Millis("took_ms", c.now.Sub(j.acceptedAt)), event.Int("done", j.tasksDone), event.Int("waiting", waiting), event.Int("tasks", len(j.tasks)))
 }
 
 // logReturn logs why a granted task went back to the queue. e is the event that
@@ -84,8 +78,8 @@
 		detail = r.Outcome.String()
 	}
 	c.logTask(event.TaskRequeued, t, t.holder, detail,
-		intField("attempt", int(t.attempt)), millisField("granted_for_ms", c.now.Sub(t.grantedAt)),
-		Field{Name: "follows", Text: t.holder.returnCause(e)})
+		event.Int("attempt", int(t.attempt)), event.Millis("granted_for_ms", c.now.Sub(t.grantedAt)),
+		event.Text("follows", t.holder.returnCause(e)))
 }
 
 // returnCause names what the return of a task granted to the session follows from.
@@ -107,3 +101,33 @@
 		return "agent_replaced"
 	}
 }
+
+// continuity says whether the session goes on with a hello that has just arrived, and
+// for how long its agent has been away.
+func (s *session) continuity(now time.Time) []event.Field {
+	if s.link == 0 && s.lostAt.IsZero() {
+		return []event.Field{event.Text("session", "new")}
+	}
+	return []event.Field{event.Text("session", "kept"), event.Millis("away_ms", s.away(now))}
+}
+
+// away returns how long the agent has been away: zero if its link is still open.
+func (s *session) away(now time.Time) time.Duration {
+	if s.link != 0 {
+		return 0
+	}
+	return now.Sub(s.lostAt)
+}
+
+// logConnected logs what a hello made of the entry's grants.
+func (c *Core) logConnected(s *session, hello *structs.Hello, continuity []event.Field) {
+	r := &s.reconciled
+	c.logEvent(event.AgentConnected, s.endpoint, "", append(continuity, event.Int("held", len(hello.Held)),
+		event.Int("listed", r.listed), event.Int("unlisted", r.unlisted), event.Int("given_up", r.givenUp))...)
+}
+
+// logReplaced logs the end of a session with the given number of lost grants.
+func (c *Core) logReplaced(old *session, hello *structs.Hello, lost int) {
+	c.logEvent(event.AgentReplaced, old.endpoint, "", event.Text("cause", old.returnCause(taskEvents.AgentGone)),
+		event.Millis("away_ms", old.away(c.now)), event.Int("held", len(hello.Held)), event.Int("lost", lost))
+}
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -100,7 +100,30 @@
 }
 
 // LinkClosed reports that a link has ended, whichever side closed it.
-type LinkClosed struct{ Link LinkID }
+type LinkClosed struct {
+	Link LinkID
+	// End says what ended the link; it is only logged.
+	End LinkEnd
+}
+
+// LinkEnd is what ended a link.
+type LinkEnd uint8
+
+// The ends of a link. EndedByAgent is the end of the connection: the agent closed it,
+// or the network broke it.
+const (
+	EndedByAgent LinkEnd = iota
+	EndedBySilence
+	EndedByOverflow
+	EndedByBadFrame
+	EndedByBadMessage
+	EndedByEntry
+)
+
+// String returns the end as it is logged.
+func (e LinkEnd) String() string {
+	return [...]string{"agent", "silence", "overflow", "bad_frame", "bad_message", "entry"}[e]
+}
 
 // Suspended reports that the machine of this process was suspended, and its
 // monotonic clock with it.
@@ -199,15 +222,7 @@
 	Task   string
 	Detail string
 	// Fields are what the decision was based on.
-	Fields []Field
-}
-
-// Field is a field of an event: a number, whose name includes the unit, or a text.
-type Field struct {
-	Name  string
-	Value int64
-	// Text takes the place of Value if it is not empty.
-	Text string
+	Fields []event.Field
 }
 
 // ConfigAdopted reports that a document is in force from now on.
--- a/internal/dispatch/overrun.go
+++ b/internal/dispatch/overrun.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		t.overran = true
-		c.logTask(event.TaskOverdue, t, s, "", millisField("running_ms", c.now.Sub(t.grantedAt)), millisField("estimate_ms", t.declaredRunTime))
+		c.logTask(event.TaskOverdue, t, s, "", event.Millis("running_ms", c.now.Sub(t.grantedAt)), event.Millis("estimate_ms", t.declaredRunTime))
 		c.fireHealth(s, healthEvents.Failed)
 	}
 	if s.health != healthStates.Probation {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -30,6 +30,10 @@
 	state           chart.State
 	// link is zero while the agent is disconnected.
 	link LinkID
+	// lostAt is when the session's latest link ended, and reconciled what its latest
+	// hello made of the grants. Both are only logged.
+	lostAt     time.Time
+	reconciled reconciliation
 	// released is set once a leaving agent has been told that it may exit.
 	released bool
 	graceEnd time.Time
@@ -185,8 +189,9 @@
 // measured slowness of the worker is kept.
 func (c *Core) replaceSession(old *session, hello *structs.Hello) *session {
 	old.successor = hello.Incarnation
+	lost := len(old.granted)
 	c.fireSession(old, sessionEvents.Replaced, nil)
-	c.logEvent(event.AgentReplaced, old.endpoint, "")
+	c.logReplaced(old, hello, lost)
 	c.detachLink(old)
 	c.removeSession(old)
 	s := c.newSession(hello)
@@ -210,6 +215,7 @@
 // attachLink binds a link to a session and replies to the hello. It closes the
 // session's previous link, if there is one.
 func (c *Core) attachLink(s *session, link LinkID, hello *structs.Hello) {
+	continuity := s.continuity(c.now)
 	c.detachLink(s)
 	s.link = link
 	s.connection = hello.Connection
@@ -226,7 +232,7 @@
 	if hello.Leaving {
 		c.fireSession(s, sessionEvents.Left, nil)
 	}
-	c.logEvent(event.AgentConnected, s.endpoint, "")
+	c.logConnected(s, hello, continuity)
 }
 
 // detachLink closes the session's current link, if any, and discards the outgoing
@@ -238,6 +244,7 @@
 	delete(c.links, s.link)
 	c.closeLink(s.link)
 	s.link = 0
+	s.lostAt = c.now
 	s.outgoing = nil
 	s.released = false
 	s.openDemand = structs.Demand{}
@@ -257,7 +264,7 @@
 	}
 	c.fireSession(s, sessionEvents.LinkLost, nil)
 	if !c.leaving() {
-		c.logEvent(event.AgentLost, s.endpoint, "")
+		c.logEvent(event.AgentLost, s.endpoint, "", event.Int("granted", len(s.granted)), event.Text("ended_by", m.End.String()))
 	}
 }
 
@@ -298,21 +305,30 @@
 	return int(needs.SlotCount(s.capacity, s.slots))
 }
 
+// reconciliation counts what became of a session's grants with a hello: the agent
+// still holds the listed ones, never starts the unlisted ones, and holds others that
+// this entry has given up.
+type reconciliation struct{ listed, unlisted, givenUp int }
+
 // reconcile compares the session's grants with those that the agent reports as
 // started. The agent guarantees that it has not started any other grant and never
 // will. Grants that it holds but this entry has given up are cancelled, since
 // their tasks may be running elsewhere by now.
 func (c *Core) reconcile(s *session, held []structs.GrantID) {
+	s.reconciled = reconciliation{}
 	for _, id := range held {
 		if id.Owner == c.self.Incarnation && s.granted[id] == nil {
 			m := s.outgoingMessage()
 			m.Cancels = append(m.Cancels, id)
+			s.reconciled.givenUp++
 		}
 	}
 	for _, t := range s.grantedTasks() {
 		if slices.Contains(held, t.grantID()) {
+			s.reconciled.listed++
 			c.fireTask(t, taskEvents.Listed, nil, nil)
 		} else {
+			s.reconciled.unlisted++
 			c.fireTask(t, taskEvents.Unlisted, nil, nil)
 		}
 	}
@@ -337,8 +353,9 @@
 // and raises the estimates of kinds whose tasks run longer than estimated.
 func (c *Core) scanSession(s *session) {
 	if s.state == sessionStates.Lost && !c.now.Before(s.graceEnd) {
+		lost := len(s.granted)
 		c.fireSession(s, sessionEvents.GraceOver, nil)
-		c.logEvent(event.AgentGone, s.endpoint, "")
+		c.logEvent(event.AgentGone, s.endpoint, "", event.Int("lost", lost), event.Millis("away_ms", c.now.Sub(s.lostAt)))
 		c.removeSession(s)
 		return
 	}
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -57,7 +57,10 @@
 }
 
 // linkClosed reports that a registered link has closed.
-type linkClosed struct{ id dispatch.LinkID }
+type linkClosed struct {
+	id  dispatch.LinkID
+	end dispatch.LinkEnd
+}
 
 // readinessProbe requests the readiness of the entry, for the load balancer.
 type readinessProbe struct{ answer chan<- readinessState }
@@ -167,7 +170,7 @@
 	case *linkClosed:
 		delete(a.links, m.id)
 		a.readiness.agentConnected = len(a.links) > 0
-		a.core.Step(now, &dispatch.LinkClosed{Link: m.id})
+		a.core.Step(now, &dispatch.LinkClosed{Link: m.id, End: m.end})
 	case *readinessProbe:
 		m.answer <- a.readiness
 	case dropReadiness:
@@ -291,14 +294,7 @@
 	if e.Detail != "" {
 		fields = append(fields, zap.String("detail", e.Detail))
 	}
-	for _, field := range e.Fields {
-		if field.Text != "" {
-			fields = append(fields, zap.String(field.Name, field.Text))
-			continue
-		}
-		fields = append(fields, zap.Int64(field.Name, field.Value))
-	}
-	a.log.Event(e.Event, fields...)
+	a.log.Event(e.Event, append(fields, logging.Fields(e.Fields)...)...)
 }
 
 // signalDrained never blocks: one buffered signal is enough for the receiver.
--- a/internal/entryd/link.go
+++ b/internal/entryd/link.go
@@ -68,8 +68,17 @@
 	forwardedIdle     uint32
 	forwardedWaiting  uint32
 	forwardedRevision uint64
-	// silentPeriods is the number of heartbeat periods since the last frame.
+	// silentPeriods is the number of heartbeat periods since the last frame that shows
+	// life.
 	silentPeriods int
+	// receivedAt and aliveAt are when the last frame and the last one that shows life
+	// arrived, or the link was opened. They are only logged.
+	receivedAt, aliveAt time.Time
+	// fast is set if the present heartbeat period is one of the faster pace.
+	fast bool
+	// endpoint is that of the hello, and end what ended the link. Both are only logged.
+	endpoint string
+	end      dispatch.LinkEnd
 	// unsentPeriods is the number of heartbeat periods, the present one included, in
 	// which no frame was sent.
 	unsentPeriods int
@@ -89,7 +98,7 @@
 var inboundBindings = chart.Bindings[*link]{
 	Guards: map[string]func(*link) bool{
 		"silent": func(l *link) bool {
-			return l.silentPeriods >= cmp.Or(l.server.options.silentPeriods, defaultSilentPeriods)-1
+			return l.silentPeriods >= l.maxSilentPeriods()-1
 		},
 		"sent_recently": (*link).sentRecently,
 		"unchanged": func(l *link) bool {
@@ -106,10 +115,10 @@
 		"send_heartbeat":     (*link).sendHeartbeat,
 		"stop_timer":         (*link).stopHeartbeatTimer,
 		"close_socket":       (*link).closeSocket,
-		"report_bad_frame":   func(l *link) { l.logEvent(event.BadFrameFromAgent) },
-		"report_bad_message": func(l *link) { l.logEvent(event.BadMessageFromAgent) },
-		"report_silence":     func(l *link) { l.logEvent(event.AgentLinkSilent) },
-		"report_overflow":    func(l *link) { l.logEvent(event.AgentLinkOverflow) },
+		"report_bad_frame":   func(l *link) { l.reportEnd(event.BadFrameFromAgent, dispatch.EndedByBadFrame) },
+		"report_bad_message": func(l *link) { l.reportEnd(event.BadMessageFromAgent, dispatch.EndedByBadMessage) },
+		"report_silence":     (*link).reportSilence,
+		"report_overflow":    func(l *link) { l.reportEnd(event.AgentLinkOverflow, dispatch.EndedByOverflow) },
 	},
 }
 
@@ -140,6 +149,8 @@
 func newLink(id dispatch.LinkID, conn gnet.Conn, server *linkServer) *link {
 	l := &link{id: id, conn: conn, server: server, inbox: server.inbox, log: server.log, state: inboundChart.Initial(), unsentPeriods: 1}
 	l.busy.Store(true)
+	l.receivedAt = time.Now()
+	l.aliveAt = l.receivedAt
 	l.heartbeatTimer = time.AfterFunc(l.untilHeartbeat(time.Now()), func() { l.runInLoop(l.periodElapsed) })
 	return l
 }
@@ -151,8 +162,10 @@
 const heartbeatPhases = 16
 
 // untilHeartbeat returns the time to the next point of the link's phase that is
-// at least half a period away, and so less than one and a half periods.
+// at least half a period away, and so less than one and a half periods. A period of
+// the present pace begins.
 func (l *link) untilHeartbeat(now time.Time) time.Duration {
+	l.fast = l.busy.Load()
 	period := l.period()
 	phase := period * time.Duration(l.id%heartbeatPhases) / heartbeatPhases
 	wait := period - (time.Duration(now.UnixNano())-phase)%period
@@ -162,6 +175,10 @@
 	return wait
 }
 
+func (l *link) maxSilentPeriods() int {
+	return cmp.Or(l.server.options.silentPeriods, defaultSilentPeriods)
+}
+
 // period returns the heartbeat period that applies at present.
 func (l *link) period() time.Duration {
 	if l.busy.Load() {
@@ -261,11 +278,13 @@
 
 func (l *link) handleFrame(body []byte) {
 	l.received, l.frameErr = wire.DecodeFromAgent(body)
+	l.receivedAt = time.Now()
 	if l.frameErr == nil {
 		l.seen.Store(max(l.seen.Load(), uint64(l.received.Sent)))
 		l.paced = l.paced || (l.received.Hello != nil && l.received.Hello.Paced)
 		if l.showsLife(l.received) {
 			l.silentPeriods = 0
+			l.aliveAt = l.receivedAt
 		}
 	}
 	switch {
@@ -305,6 +324,7 @@
 // event loop blocks, which slows down the agents that it serves.
 func (l *link) register() {
 	l.registered = true
+	l.endpoint = l.received.Hello.Endpoint
 	l.recordForwarded()
 	l.inbox.Send(&linkHello{link: l, hello: l.received})
 }
@@ -321,7 +341,7 @@
 	l.forwardedRevision = l.received.Revision
 }
 
-func (l *link) forwardClose() { l.inbox.Send(&linkClosed{id: l.id}) }
+func (l *link) forwardClose() { l.inbox.Send(&linkClosed{id: l.id, end: l.end}) }
 
 // periodElapsed is called at the end of each heartbeat period.
 func (l *link) periodElapsed() {
@@ -344,12 +364,38 @@
 // closeSocket closes the connection after the queued frames have been sent.
 func (l *link) closeSocket() { _ = l.conn.Close() }
 
-func (l *link) logEvent(id event.ID) {
-	l.log.Event(id,
+// reportEnd logs why the link is closed.
+func (l *link) reportEnd(id event.ID, end dispatch.LinkEnd, fields ...zap.Field) {
+	l.end = end
+	l.log.Event(id, append([]zap.Field{
 		zap.Uint64("link", uint64(l.id)),
 		zap.Stringer("address", l.conn.RemoteAddr()),
+		l.endpointField(),
 		errorField(l.frameErr),
-	)
+	}, fields...)...)
+}
+
+func (l *link) endpointField() zap.Field {
+	if l.endpoint == "" {
+		return zap.Skip()
+	}
+	return zap.String("endpoint", l.endpoint)
+}
+
+// reportSilence logs the pace of the period that has just ended, and the limit at that
+// pace, beside the age of what has arrived: the periods counted may be of both paces.
+func (l *link) reportSilence() {
+	pace, period := "slow", l.server.options.idlePeriod
+	if l.fast {
+		pace, period = "fast", l.server.options.heartbeatPeriod
+	}
+	now := time.Now()
+	l.reportEnd(event.AgentLinkSilent, dispatch.EndedBySilence,
+		zap.Int64("received_ms_ago", now.Sub(l.receivedAt).Milliseconds()),
+		zap.Int64("alive_ms_ago", now.Sub(l.aliveAt).Milliseconds()),
+		zap.String("pace", pace),
+		zap.Int64("limit_ms", (time.Duration(l.maxSilentPeriods())*period).Milliseconds()),
+		zap.Bool("busy", l.busy.Load()))
 }
 
 // send queues a message, with the highest stamp that has been read. It may be called
@@ -394,5 +440,10 @@
 
 // requestClose closes the link. It may be called from any goroutine.
 func (l *link) requestClose() {
-	l.runInLoop(func() { l.fire(inboundEvents.CloseRequested) })
+	l.runInLoop(func() {
+		if l.state == inboundStates.Opened || l.state == inboundStates.Established {
+			l.end = dispatch.EndedByEntry
+		}
+		l.fire(inboundEvents.CloseRequested)
+	})
 }
--- a/internal/entryd/pace_test.go
+++ b/internal/entryd/pace_test.go
@@ -1,11 +1,15 @@
 package entryd
 
 import (
+	"bytes"
+	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"cactuspost.example/internal/dispatch"
+	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/structs"
 	"cactuspost.example/internal/wire"
@@ -81,6 +85,33 @@
 	l.stopHeartbeatTimer()
 }
 
+// The periods counted at the faster pace are over when the link is relaxed, so the line
+// tells the pace of the last period from whether grants may be open.
+func TestSilenceIsLoggedWithItsAgePaceAndLimit(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	l := establishedLink(&stubConn{}, logging.New(&out, event.Info))
+	defer l.stopHeartbeatTimer()
+	l.server.options.idlePeriod = 2 * time.Hour
+	l.paced = true
+	l.receivedAt = l.receivedAt.Add(-time.Minute)
+	l.aliveAt = l.aliveAt.Add(-time.Hour)
+	l.relax()
+	for range defaultSilentPeriods {
+		l.fire(inboundEvents.PeriodElapsed)
+	}
+	var line map[string]any
+	is.NoErr(json.Unmarshal(out.Bytes(), &line))
+	is.Equal(line["event"], float64(event.AgentLinkSilent))
+	is.Equal(line["endpoint"], "w1")
+	is.Equal(int(line["received_ms_ago"].(float64))/1000, 60)
+	is.Equal(int(line["alive_ms_ago"].(float64))/1000, 3600)
+	is.Equal(line["pace"], "fast")
+	is.Equal(line["limit_ms"], float64(defaultSilentPeriods*time.Hour.Milliseconds()))
+	is.Equal(line["busy"], false)
+	is.Equal(l.end, dispatch.EndedBySilence)
+}
+
 func TestAgentOfAnEarlierReleaseIsNotExpectedToSayThatItIsBusy(t *testing.T) {
 	is := is.New(t)
 	conn := &stubConn{}
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -34,18 +34,18 @@
 )
 
 var entryEvents = []Description{
-	{AgentConnected, Info, "agent connected", "An agent opened a link and offered its slots.", "None."},
-	{AgentLost, Warning, "agent lost", "The link to an agent was lost; the outcome of its grants is unknown until it reconnects.", "None, if it reconnects within the grace period."},
-	{AgentReplaced, Warning, "agent replaced", "A new incarnation of the agent serves the endpoint; the outcome of the old one's tasks is unknown.", "Look for crashes of the agent if this repeats."},
+	{AgentConnected, Info, "agent connected", "An agent opened a link and offered its slots. The fields say whether its session goes on (kept) or is new, how many runs it holds, and how many of the entry's grants it listed, did not list, and holds although the entry has given them up.", "None."},
+	{AgentLost, Warning, "agent lost", "The link to an agent was lost; the outcome of its grants is unknown until it reconnects. The fields give their number and what ended the link.", "None, if it reconnects within the grace period."},
+	{AgentReplaced, Warning, "agent replaced", "A new incarnation of the agent serves the endpoint (cause agent_replaced), or the same agent began a new session (new_session); the outcome of the tasks of the old one, lost in the fields, is unknown.", "Look for crashes of the agent if this repeats."},
 	{AgentLeaving, Info, "agent leaving", "An agent announced its planned stop.", "None."},
-	{AgentGone, Warning, "agent gone", "An agent did not reconnect within the grace period; jobs with tasks on it failed with an unknown outcome.", "Check the worker."},
+	{AgentGone, Warning, "agent gone", "An agent did not reconnect within the grace period; the outcome of its tasks, lost in the fields, is unknown.", "Check the worker."},
 	{WorkerOnProbation, Warning, "worker on probation", "A worker's failure rate is far above that of its pool; it gets no work for a time.", "Check the endpoint on that worker."},
 	{WorkerOffProbation, Info, "worker off probation", "A worker on probation completed its trial task and gets work again.", "None."},
 	{JobFailedByTask, Info, "job failed by task", "A job failed because one of its tasks ended without a result.", "Check the endpoint's log if this repeats."},
 	{JobShed, Warning, "job shed", "A waiting job could no longer start within its objective and was refused; none of its tasks ran.", "Add workers, or lower the quota of the team that overloads the pool."},
 	{BadFrameFromAgent, Fault, "bad frame from agent", "The bytes received on a link were not a valid frame; the link was closed.", "Check that the peer is an agent of this release."},
 	{BadMessageFromAgent, Fault, "bad message from agent", "A frame was valid, but its message is not allowed in the state of the link; the link was closed.", "Check the agent's release."},
-	{AgentLinkSilent, Warning, "link silent", "Nothing was received from an agent within the heartbeat timeout; the link was closed.", "None, if the agent reconnects; otherwise check the worker and the network."},
+	{AgentLinkSilent, Warning, "link silent", "Nothing was received from an agent within the heartbeat timeout, or nothing that shows that it has got its grants; the link was closed. The fields give the age of both, the pace of the heartbeats and the limit.", "None, if the agent reconnects; otherwise check the worker and the network."},
 	{AgentLinkOverflow, Warning, "link overflow", "An agent read too slowly and the send buffer of its link exceeded its limit; the link was closed.", "Check the load of the worker and the network."},
 	{LinkLimitReached, Fault, "link limit reached", "A new connection from an agent was closed because the entry has the maximum number of links.", "Raise the limit or add entries; look for agents that reconnect in a loop."},
 	{AgentLinkEncodingFailed, Fault, "link encoding failed", "A message to an agent could not be encoded; the link was closed.", "Report it with the fields of the event."},
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 )
 
 // ID is the number of an event. A number is never reused for another meaning.
@@ -26,6 +27,23 @@
 // String returns the severity's name.
 func (s Severity) String() string { return [...]string{"info", "warning", "fault"}[s] }
 
+// Field is a field of an event: a number, whose name includes the unit, or a text.
+type Field struct {
+	Name  string
+	Value int64
+	// Text takes the place of Value if it is not empty.
+	Text string
+}
+
+// Int returns a field with a number.
+func Int(name string, value int) Field { return Field{Name: name, Value: int64(value)} }
+
+// Millis returns a field with a duration in milliseconds.
+func Millis(name string, d time.Duration) Field { return Field{Name: name, Value: d.Milliseconds()} }
+
+// Text returns a field with a text.
+func Text(name, text string) Field { return Field{Name: name, Text: text} }
+
 // Description is the catalogue entry of an event.
 type Description struct {
 	ID       ID
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -19,6 +19,19 @@
 // Logger writes events. It is safe for concurrent use if its writer is.
 type Logger struct{ zap *zap.Logger }
 
+// Fields returns the fields of an event that a decision reported.
+func Fields(fields []event.Field) []Field {
+	typed := make([]Field, 0, len(fields))
+	for _, f := range fields {
+		if f.Text != "" {
+			typed = append(typed, zap.String(f.Name, f.Text))
+			continue
+		}
+		typed = append(typed, zap.Int64(f.Name, f.Value))
+	}
+	return typed
+}
+
 // Option configures a logger.
 type Option = zap.Option
 
