Agent: links say which runs go on, and 2058 that runs are given up

What callers saw: none of this; when a task ran twice, the log of the first agent did not say whether it held the entry for alive, or that it had given the entry up. Cause: 2001, 2002 and 2024 gave the address alone, and giving up runs was not logged. Change: these lines say whether the session is new, how many runs and results of the entry go on, and how old its newest confirmation is on this connection and on any. 2058 gives the reason and the number of runs stopped, grants dropped and results dropped. The link chart's actions get the event they are called for, for the reason. 2024 of the sockets' actor gives the age, the limit and the pace. No decision changes. Evidence: TestLinesOfALinkSayWhatGoesOn, TestRunsThatAreGivenUpAreLoggedWithTheReason, the simulations of internal/agent.

--- a/internal/agent/charts.go
+++ b/internal/agent/charts.go
@@ -13,10 +13,12 @@
 	runChart  *chart.Machine[runContext]
 )
 
-// linkContext is the context passed to guards and actions of the link chart.
+// linkContext is the context passed to guards and actions of the link chart. event is
+// the event being applied.
 type linkContext struct {
-	core *Core
-	link *link
+	core  *Core
+	link  *link
+	event chart.Event
 }
 
 func compileLinkChart() *chart.Machine[linkContext] {
@@ -31,7 +33,7 @@
 			"close":             func(c linkContext) { c.core.closeLink(c.link) },
 			"withdraw_credits":  func(c linkContext) { c.core.withdrawLinkCredits(c.link) },
 			"start_grace":       func(c linkContext) { c.core.startGrace(c.link) },
-			"abandon_runs":      func(c linkContext) { c.core.abandonRuns(c.link) },
+			"abandon_runs":      func(c linkContext) { c.core.abandonRuns(c.link, c.event) },
 			"start_new_session": func(c linkContext) { c.link.session = 0 },
 			"adopt_incarnation": func(c linkContext) { c.core.adoptIncarnation(c.link) },
 			"resume_runs":       func(c linkContext) { c.core.resumeRuns(c.link) },
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -269,8 +269,8 @@
 
 func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
 
-func (c *Core) logEvent(id event.ID, entry string, grant structs.GrantID, detail string) {
-	c.emit(&LogEvent{Event: id, Entry: entry, Grant: grant, Detail: detail})
+func (c *Core) logEvent(id event.ID, entry string, grant structs.GrantID, detail string, fields ...event.Field) {
+	c.emit(&LogEvent{Event: id, Entry: entry, Grant: grant, Detail: detail, Fields: fields})
 }
 
 func (c *Core) leaving() bool { return c.drain.Leaving() }
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -98,7 +98,7 @@
 }
 
 func (c *Core) fireLink(l *link, e chart.Event) bool {
-	return linkChart.Fire(&l.state, e, linkContext{core: c, link: l})
+	return linkChart.Fire(&l.state, e, linkContext{core: c, link: l, event: e})
 }
 
 func (c *Core) tickLink(l *link) {
@@ -124,7 +124,7 @@
 		return false
 	}
 	if l.state == linkStates.Up {
-		c.logEvent(event.LinkSilent, l.address, structs.GrantID{}, c.silenceDetail(l))
+		c.logEvent(event.LinkSilent, l.address, structs.GrantID{}, c.silenceDetail(l), c.linkFields(l)...)
 	}
 	c.fireLink(l, linkEvents.Silent)
 	return true
@@ -253,7 +253,7 @@
 	}
 	delete(c.linksByID, id)
 	if l.state == linkStates.Up && !l.entryLeaving {
-		c.logEvent(event.LinkBroken, l.address, structs.GrantID{}, "")
+		c.logEvent(event.LinkBroken, l.address, structs.GrantID{}, "", c.linkFields(l)...)
 	}
 	l.outgoing = nil
 	l.established = false
@@ -343,7 +343,7 @@
 	}
 	c.fireLink(l, linkEvents.Welcomed)
 	c.dropDuplicateLink(l)
-	c.logEvent(event.LinkUp, l.address, structs.GrantID{}, "")
+	c.logEvent(event.LinkUp, l.address, structs.GrantID{}, "", c.linkFields(l)...)
 	if w.Revision < c.revision() {
 		l.outgoingMessage().Config = c.config
 	}
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -124,6 +124,8 @@
 	Task   string
 	Waited time.Duration
 	Detail string
+	// Fields are what the decision was based on.
+	Fields []event.Field
 }
 
 // FindEntries asks the caller to look up the list of entries, since the agent
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -218,7 +218,10 @@
 	}
 }
 
-func (c *Core) abandonRuns(l *link) {
+// abandonRuns gives up the runs of the link's entry. e is the event of the link that
+// they are given up for.
+func (c *Core) abandonRuns(l *link, e chart.Event) {
+	c.logAbandoned(l, e)
 	for _, r := range c.runsOfEntry(l) {
 		r.endBy = c.endBy(l)
 		c.fireRun(r, runEvents.EntryGone)
--- a/internal/agentd/connection.go
+++ b/internal/agentd/connection.go
@@ -32,6 +32,9 @@
 	cancelDial   context.CancelFunc
 	lastReceived time.Time
 	lastSent     time.Time
+	// silentFor and silenceLimit are the silence and its limit while the event silent is
+	// handled.
+	silentFor, silenceLimit time.Duration
 	// idle, waiting, busy and revision were last sent to the entry; heartbeats repeat
 	// them.
 	idle, waiting uint32
@@ -140,6 +143,7 @@
 	}
 	heartbeat, silence := c.pace()
 	if now.Sub(c.lastReceived) > silence {
+		c.silentFor, c.silenceLimit = now.Sub(c.lastReceived), silence
 		c.fire(connectionEvents.Silent)
 		return
 	}
@@ -216,5 +220,6 @@
 }
 
 func (c *connection) reportSilence() {
-	c.owner.log.Event(event.LinkSilent, zap.String("entry", c.address))
+	c.owner.log.Event(event.LinkSilent, zap.String("entry", c.address),
+		zap.Int64("received_ms_ago", c.silentFor.Milliseconds()), zap.Int64("limit_ms", c.silenceLimit.Milliseconds()), zap.Bool("busy", c.busy))
 }
--- a/internal/agentd/log.go
+++ b/internal/agentd/log.go
@@ -24,5 +24,5 @@
 	if e.Detail != "" {
 		fields = append(fields, zap.String("detail", e.Detail))
 	}
-	log.Event(e.Event, fields...)
+	log.Event(e.Event, append(fields, logging.Fields(e.Fields)...)...)
 }
--- a/internal/event/agent.go
+++ b/internal/event/agent.go
@@ -37,10 +37,11 @@
 	RunsLost                 ID = 2055
 	StoppedRunListed         ID = 2056
 	CapacityChanged          ID = 2057
+	RunsGivenUp              ID = 2058
 )
 
 var agentEvents = []Description{
-	{LinkUp, Info, "link up", "The agent is connected to an entry.", "None."},
+	{LinkUp, Info, "link up", "The agent is connected to an entry. The fields say whether a new session begins, and give the runs and results of the entry here and the age of its newest confirmation, on this connection and on any (vouched).", "None."},
 	{LinkBroken, Warning, "link broken", "The connection to an entry was lost; the agent will reconnect.", "None, if the connection is restored."},
 	{EntryReplaced, Warning, "entry replaced", "Another incarnation answers at an entry's address; tasks of the old one were stopped.", "Look for crashes of the entry if this repeats."},
 	{EntryRemoved, Info, "entry removed", "An entry is no longer in the list of entries; the agent no longer connects to it.", "None."},
@@ -75,4 +76,5 @@
 	{RunsLost, Warning, "runs lost", "The lease has expired with runs on the worker, so all of them have ended; their entries repeat the tasks.", "Check the worker if this repeats."},
 	{StoppedRunListed, Warning, "stopped run listed", "The worker lists a run as running although it should have stopped: it executed a stop, or left all unanswered until the start had expired. The lease is not extended while this lasts.", "Check the worker if this repeats."},
 	{CapacityChanged, Info, "capacity changed", "The worker reports another capacity; the agent offers fewer or more slots from now on.", "None."},
+	{RunsGivenUp, Warning, "runs given up", "An entry is taken to be gone: its runs at the endpoint are stopped, and its queued grants and kept results are dropped. The reason is grace_over, entry_replaced or entry_unlisted.", "None, if the entry has ended; otherwise look for a second run of the tasks."},
 }
