Log and measure how late the core learns of messages and of callers who left

What callers saw: none of this; it could not be told whether an entry stopped the tasks of a caller who had left, or an agent handled a cancel, long after the event loops knew of it. Cause: no line and no metric gave the wait in the inbox of the actor that decides. Change: the entry's busy tick carries its send time; the agent's frames carry the time at which the event loop got them, and each tick takes the longest wait since the last. Both go to a histogram, and to 4033 above 100 ms, at most once a second. The front end passes on when it noticed that a caller had left, for a histogram and for caller_left_ms_ago in 1043. No line per task or heartbeat, and no decision changes. The test of the front end checks the time as well now; that of the agent's core passes one more argument.

--- a/internal/agentd/core.go
+++ b/internal/agentd/core.go
@@ -37,6 +37,9 @@
 type coreInput struct {
 	message agent.Message
 	status  chan<- Status
+	// receivedAt is when the event loop was told that the message of an entry has
+	// arrived, zero for other messages.
+	receivedAt time.Time
 }
 
 // Status is the state of a daemon as operators see it.
@@ -91,13 +94,18 @@
 	// ctx.
 	findRegistered func(context.Context) ([]structs.Peer, error)
 	ctx            context.Context
+	// longestWait is the longest wait of a message of an entry since the last tick, zero
+	// if none was handled.
+	longestWait time.Duration
+	waitAlarm   actor.WaitAlarm
+	counters    *counters
 	// deferredInputs holds inputs caused by effects; the next tick handles them.
 	deferredInputs []agent.Message
 }
 
-func newCore(inbox *actor.Inbox[coreInput], d decisions, links *actor.Inbox[linksInput], runner *actor.Inbox[runnerInput], log *logging.Logger) *core {
+func newCore(inbox *actor.Inbox[coreInput], d decisions, links *actor.Inbox[linksInput], runner *actor.Inbox[runnerInput], log *logging.Logger, counters *counters) *core {
 	return &core{
-		inbox: inbox, decisions: d, links: links, runner: runner, log: log,
+		inbox: inbox, decisions: d, links: links, runner: runner, log: log, counters: counters,
 		replies:         map[uint64]chan<- Status{},
 		suspendDetector: pause.NewDetector(pause.BootClock),
 		linksToClose:    map[agent.LinkID]bool{},
@@ -120,6 +128,9 @@
 		c.log.Event(event.MachineSuspended)
 		c.decisions.Step(now, &agent.Suspended{})
 	}
+	if !in.receivedAt.IsZero() {
+		c.longestWait = max(c.longestWait, now.Sub(in.receivedAt))
+	}
 	if in.status != nil {
 		c.requestStatus(now, in.status)
 		return true
@@ -137,6 +148,7 @@
 	if c.drained {
 		return false
 	}
+	c.recordWait(now)
 	c.retryDropped()
 	inputs := c.deferredInputs
 	c.deferredInputs = nil
@@ -147,6 +159,21 @@
 	return true
 }
 
+// recordWait records the longest wait of a message of an entry since the last tick,
+// and logs a long one.
+func (c *core) recordWait(now time.Time) {
+	wait := c.longestWait
+	if wait == 0 {
+		return
+	}
+	c.longestWait = 0
+	c.counters.coreWait.Update(wait.Seconds())
+	if c.waitAlarm.Due(now, wait) {
+		c.log.Event(event.InboxBehind, zap.String("part", "core"), zap.Int64("wait_ms", wait.Milliseconds()),
+			zap.Int64("limit_ms", actor.WaitLimit.Milliseconds()), zap.Int("queued", c.inbox.Len()))
+	}
+}
+
 // Flush executes the effects of a batch of messages.
 func (c *core) Flush(now time.Time) {
 	c.decisions.Flush(now)
--- a/internal/agentd/core_test.go
+++ b/internal/agentd/core_test.go
@@ -1,7 +1,9 @@
 package agentd
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"cactuspost.example/internal/actor"
 	"cactuspost.example/internal/agent"
+	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/structs"
 )
@@ -57,7 +60,7 @@
 	links := actor.NewInbox[linksInput](1)
 	runner := actor.NewInbox[runnerInput](1)
 	s := &scriptedDecisions{}
-	c := newCore(actor.NewInbox[coreInput](1), s, links, runner, logging.Discard())
+	c := newCore(actor.NewInbox[coreInput](1), s, links, runner, logging.Discard(), newCounters())
 	now := time.Unix(1, 0)
 
 	id := structs.GrantID{Task: 2}
@@ -84,3 +87,22 @@
 	is.Equal(exited.Grant, id)
 	is.Equal(exited.Outcome, structs.NotSent)
 }
+
+func TestLongestWaitOfAnEntrysMessageIsLoggedAndMeasured(t *testing.T) {
+	is := is.New(t)
+	var out, text bytes.Buffer
+	counters := newCounters()
+	c := newCore(actor.NewInbox[coreInput](1), &scriptedDecisions{}, nil, nil, logging.New(&out, event.Info), counters)
+	now := time.Now()
+	for _, wait := range []time.Duration{30, 150, 90} {
+		c.Handle(now, coreInput{message: &agent.EntryMessage{}, receivedAt: now.Add(-wait * time.Millisecond)})
+	}
+	c.Handle(now, coreInput{message: &agent.EndpointChanged{}})
+	for range 2 {
+		c.Tick(now)
+	}
+	is.Equal(strings.Count(out.String(), "\n"), 1)
+	is.True(strings.Contains(out.String(), `"event":4033,"part":"core","wait_ms":150,"limit_ms":100,"queued":0}`))
+	counters.set.WritePrometheus(&text)
+	is.True(strings.Contains(text.String(), "cactuspost_agent_core_wait_seconds_count 1\n"))
+}
--- a/internal/agentd/counters.go
+++ b/internal/agentd/counters.go
@@ -30,6 +30,9 @@
 	unansweredPolls  *metrics.Counter
 	// stopTime is the time from the first stop request to the end of the run.
 	stopTime *metrics.Histogram
+	// coreWait is the longest time in each tick of the core that a message of an entry
+	// waited for it.
+	coreWait *metrics.Histogram
 }
 
 // unansweredCalls is the name of the counters of unanswered calls.
@@ -49,6 +52,7 @@
 		unansweredStops:  set.NewCounter(unansweredCalls + `{call="stop"}`),
 		unansweredPolls:  set.NewCounter(unansweredCalls + `{call="poll"}`),
 		stopTime:         set.NewHistogram("cactuspost_agent_stop_seconds"),
+		coreWait:         set.NewHistogram("cactuspost_agent_core_wait_seconds"),
 	}
 	for i := range c.tasks {
 		c.tasks[i] = set.NewCounter(fmt.Sprintf("cactuspost_agent_tasks_ended_total{outcome=%q}", structs.Outcome(i)))
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -142,7 +142,7 @@
 		server.stop()
 		return nil, err
 	}
-	core := newCore(coreInbox, d, linksInbox, runnerInbox, log)
+	core := newCore(coreInbox, d, linksInbox, runnerInbox, log, counters)
 	core.findRegistered = c.FindEntries
 
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/agentd/event_handler.go
+++ b/internal/agentd/event_handler.go
@@ -66,9 +66,10 @@
 		}
 	}()
 	linkCtx := conn.Context().(*linkContext)
-	h.reportActivity(linkCtx)
+	now := time.Now()
+	h.reportActivity(linkCtx, now)
 	for {
-		more, err := h.forwardFrame(conn, linkCtx)
+		more, err := h.forwardFrame(conn, linkCtx, now)
 		if err != nil {
 			h.counters.badFrames.Inc()
 			h.log.Event(event.BadFrameFromEntry, zap.Stringer("entry", conn.RemoteAddr()), zap.String("error", err.Error()))
@@ -83,7 +84,7 @@
 // forwardFrame decodes one frame and passes its message to the core. It reports
 // false if no complete frame has arrived, and returns the failure of package
 // wire for invalid bytes.
-func (h *eventHandler) forwardFrame(conn gnet.Conn, linkCtx *linkContext) (bool, error) {
+func (h *eventHandler) forwardFrame(conn gnet.Conn, linkCtx *linkContext, now time.Time) (bool, error) {
 	header, err := conn.Peek(wire.HeaderBytes)
 	if err != nil {
 		return false, nil
@@ -102,14 +103,13 @@
 	}
 	_, _ = conn.Discard(len(frame))
 	h.counters.framesReceived.Inc()
-	h.core.Send(coreInput{message: &agent.EntryMessage{Link: linkCtx.link, Message: message}})
+	h.core.Send(coreInput{message: &agent.EntryMessage{Link: linkCtx.link, Message: message}, receivedAt: now})
 	return true, nil
 }
 
 // reportActivity tells links that bytes have arrived. A report that is dropped
 // because the inbox is full is repeated when more bytes arrive.
-func (h *eventHandler) reportActivity(linkCtx *linkContext) {
-	now := time.Now()
+func (h *eventHandler) reportActivity(linkCtx *linkContext, now time.Time) {
 	if now.Sub(linkCtx.reportedAt) < activityReportInterval {
 		return
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -49,6 +49,9 @@
 	attached bool
 	// requestID is the caller's ID of the request that submitted the job.
 	requestID string
+	// callerLeftAt is when a front end noticed that the last caller of an attached job
+	// has left, zero while one waits. It is only logged.
+	callerLeftAt time.Time
 	// criticalPath is the estimated run time of the job's critical path on a
 	// worker of typical speed. The job meets its response objective if it ends by
 	// targetEnd (zero if it has none); a result after usefulUntil is of no use to
@@ -226,6 +229,7 @@
 	delete(c.waiters, m.Reply)
 	if j.attached && len(j.waiters) == 1 {
 		j.waiters = nil
+		j.callerLeftAt = m.At
 		c.fireJob(j, jobEvents.Cancel, nil)
 		c.deliver(j, m.Reply)
 		return
--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -67,7 +67,11 @@
 	if j.failure != nil {
 		id, detail = event.JobFailed, j.failure.Error()
 	}
-	c.logJob(id, j, detail, event.Millis("took_ms", c.now.Sub(j.acceptedAt)), event.Int("done", j.tasksDone), event.Int("waiting", waiting), event.Int("tasks", len(j.tasks)))
+	fields := []event.Field{event.Millis("took_ms", c.now.Sub(j.acceptedAt)), event.Int("done", j.tasksDone), event.Int("waiting", waiting), event.Int("tasks", len(j.tasks))}
+	if !j.callerLeftAt.IsZero() {
+		fields = append(fields, event.Millis("caller_left_ms_ago", c.now.Sub(j.callerLeftAt)))
+	}
+	c.logJob(id, j, detail, fields...)
 }
 
 // logReturn logs why a granted task went back to the queue. e is the event that
--- a/internal/dispatch/log_test.go
+++ b/internal/dispatch/log_test.go
@@ -74,3 +74,13 @@
 	h.Equal(h.lastLogged(event.AgentGone)["lost"], int64(2))
 	h.True(h.lastLogged(event.AgentGone)["away_ms"].(int64) >= 500)
 }
+
+func TestJobWhoseCallerLeftIsLoggedWithTheTimeSince(t *testing.T) {
+	h := newTimedHarness(t)
+	h.connectDividedWorker(1, 1, 40)
+	first, second := h.runJob("a", 1, 1000), h.runJob("a", 1, 1000)
+	h.step(&AbandonReply{Reply: first, At: h.now}) // the other caller still waits
+	h.advance(300 * time.Millisecond)
+	h.step(&AbandonReply{Reply: second, At: h.now.Add(-70 * time.Millisecond)})
+	h.Equal(h.lastLogged(event.JobFailed)["caller_left_ms_ago"], int64(70))
+}
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -91,7 +91,12 @@
 
 // AbandonReply ends the wait of a caller: it gets the job's current state as
 // Answered at once, unless it was already answered.
-type AbandonReply struct{ Reply ReplyID }
+type AbandonReply struct {
+	Reply ReplyID
+	// At is when the front end noticed that the caller has left or waits no longer. It
+	// is only logged, and may be zero.
+	At time.Time
+}
 
 // AgentMessage is a message from an agent, received on a link.
 type AgentMessage struct {
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"cactuspost.example/internal/actor"
@@ -69,8 +70,8 @@
 type dropReadiness struct{}
 
 // busyTick is sent busyTickInterval after it was scheduled. It triggers a tick of
-// the dispatcher.
-type busyTick struct{}
+// the dispatcher, and its wait is a sample of that of all messages.
+type busyTick struct{ sentAt time.Time }
 
 // stopCore stops the actor.
 type stopCore struct{}
@@ -109,6 +110,8 @@
 	// gateway receives each document that is adopted; nil if it is not needed.
 	gateway         *Gateway
 	suspendDetector *pause.Detector
+	waits           *coreWaits
+	waitAlarm       actor.WaitAlarm
 	// active is set if a message has arrived since the last busyTick.
 	active bool
 	// tickScheduled is set while a timer is running that will send a busyTick.
@@ -126,14 +129,16 @@
 		links:           map[dispatch.LinkID]*link{},
 		drained:         drained,
 		suspendDetector: pause.NewDetector(pause.BootClock),
+		waits:           newCoreWaits(metrics.NewSet()),
 	}
 }
 
 // Handle processes one message.
 func (a *coreActor) Handle(now time.Time, m coreMessage) bool {
 	a.detectSuspension(now)
-	switch m.(type) {
+	switch m := m.(type) {
 	case busyTick:
+		a.recordWait(now, now.Sub(m.sentAt))
 		a.active = false
 		a.tickScheduled = false
 		a.core.Tick(now)
@@ -146,6 +151,15 @@
 	return true
 }
 
+// recordWait records how long a message waited in the inbox, and logs a long wait.
+func (a *coreActor) recordWait(now time.Time, wait time.Duration) {
+	a.waits.inbox.Update(wait.Seconds())
+	if a.waitAlarm.Due(now, wait) {
+		a.log.Event(event.InboxBehind, zap.String("part", "core"), zap.Int64("wait_ms", wait.Milliseconds()),
+			zap.Int64("limit_ms", actor.WaitLimit.Milliseconds()), zap.Int("queued", a.inbox.Len()))
+	}
+}
+
 // detectSuspension tells the dispatcher if the machine was suspended, before it
 // processes any message that arrived in the meantime.
 func (a *coreActor) detectSuspension(now time.Time) {
@@ -162,6 +176,9 @@
 		a.callers[m.reply] = m.answer
 		a.core.Step(now, m.message)
 	case *notification:
+		if left, ok := m.message.(*dispatch.AbandonReply); ok {
+			a.waits.abandoned.Update(now.Sub(left.At).Seconds())
+		}
 		a.core.Step(now, m.message)
 	case *linkHello:
 		a.links[m.link.id] = m.link
@@ -210,7 +227,7 @@
 		return
 	}
 	a.tickScheduled = true
-	time.AfterFunc(busyTickInterval, func() { a.inbox.Send(busyTick{}) })
+	time.AfterFunc(busyTickInterval, func() { a.inbox.Send(busyTick{sentAt: time.Now()}) })
 }
 
 // executeEffect executes one effect of the dispatcher.
--- a/internal/entryd/core_client.go
+++ b/internal/entryd/core_client.go
@@ -68,13 +68,17 @@
 }
 
 // awaitUntil waits for the answer. When abandon yields a value or is closed, it
-// abandons the call, which the dispatcher then answers immediately.
+// abandons the call, which the dispatcher then answers immediately. The value is when
+// the caller was found to wait no longer.
 func (c *coreClient) awaitUntil(id dispatch.ReplyID, answer <-chan dispatch.Effect, abandon <-chan time.Time) dispatch.Effect {
 	select {
 	case effect := <-answer:
 		return effect
-	case <-abandon:
-		c.inbox.Send(&notification{message: &dispatch.AbandonReply{Reply: id}})
+	case at := <-abandon:
+		if at.IsZero() {
+			at = time.Now()
+		}
+		c.inbox.Send(&notification{message: &dispatch.AbandonReply{Reply: id, At: at}})
 	case <-c.inbox.Done():
 	}
 	return c.await(id, answer)
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -187,6 +187,7 @@
 	d.shutdown = newShutdown(ctx, components, config)
 	coreActor := newCoreActor(config.NewCore(self, config.Seed), components.core, config.Log, components.drained)
 	coreActor.gateway = components.gateway
+	coreActor.waits = newCoreWaits(components.frontend.metrics)
 	peersActor := &peersActor{ctx: ctx, self: self.Incarnation, client: components.peerClient, log: config.Log, inbox: components.peers}
 	go actor.Run(ctx, components.core, idleTickInterval, coreActor)
 	go actor.Run(ctx, components.peers, peersTickInterval, peersActor)
--- a/internal/entryd/gateway.go
+++ b/internal/entryd/gateway.go
@@ -39,9 +39,9 @@
 }
 
 // Run submits a job and waits for its end. The caller waits for the answer up to
-// waitLimit, which becomes the job's lifetime. Closing callerGone means that the
-// caller has disconnected, and the job is cancelled unless another caller waits
-// for it.
+// waitLimit, which becomes the job's lifetime. A value of callerGone, or closing it,
+// means that the caller has disconnected, at the time of the value, and the job is
+// cancelled unless another caller waits for it.
 func (g *Gateway) Run(s structs.Submission, waitLimit time.Duration, callerGone <-chan time.Time) (structs.Answer, *failure.Failure) {
 	return g.ask(func(id dispatch.ReplyID) dispatch.Message {
 		return &dispatch.RunJob{Reply: id, Submission: s, MaxWait: waitLimit}
--- a/internal/entryd/metrics.go
+++ b/internal/entryd/metrics.go
@@ -12,6 +12,23 @@
 	"cactuspost.example/internal/dispatch"
 )
 
+// coreWaits are the metrics of how late the core actor learns of something.
+type coreWaits struct {
+	// inbox is how long messages waited in the inbox: a sample of one each
+	// busyTickInterval while the entry is busy.
+	inbox *metrics.Histogram
+	// abandoned is the time from when a front end noticed that a caller has left, or
+	// waits no longer, until the core actor handled it.
+	abandoned *metrics.Histogram
+}
+
+func newCoreWaits(set *metrics.Set) *coreWaits {
+	return &coreWaits{
+		inbox:     set.NewHistogram("cactuspost_core_wait_seconds"),
+		abandoned: set.NewHistogram("cactuspost_core_caller_left_seconds"),
+	}
+}
+
 // recordRequest updates the metrics for one HTTP request.
 func (f *frontend) recordRequest(route string, status int, took time.Duration) {
 	requests := fmt.Sprintf(`cactuspost_http_requests_total{route=%q,code="%d"}`, route, status)
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -20,6 +20,7 @@
 	ActorFailed            ID = 4030
 	LogLinesDropped        ID = 4031
 	MachineSuspended       ID = 4032
+	InboxBehind            ID = 4033
 )
 
 var daemonEvents = []Description{
@@ -40,4 +41,5 @@
 	{ActorFailed, Fault, "actor failed", "A component of the daemon stopped because of an internal error; the daemon exits.", "Report it with the fields of the event."},
 	{LogLinesDropped, Warning, "lines dropped", "Log lines were dropped because the rate limit was exceeded or the reader of the log was too slow; the fields give the number of missing lines.", "Check the metrics of that second."},
 	{MachineSuspended, Warning, "machine suspended", "The machine was suspended for a time that the monotonic clock doesn't count; links were closed, or grants were delayed for a moment.", "Check the host if this repeats."},
+	{InboxBehind, Warning, "inbox behind", "A message waited for too long in the inbox of the actor that decides; reported at most once a second. The fields give the wait, the limit and the number of messages that still wait.", "Check whether the process gets enough processor time."},
 }
--- a/internal/ingress/connection.go
+++ b/internal/ingress/connection.go
@@ -33,7 +33,8 @@
 	answer []byte
 	// closeAfterAnswer is set when the connection is closed after the answer.
 	closeAfterAnswer bool
-	// clientGone is closed when the client disconnects before the answer.
+	// clientGone yields the time and is closed when the client disconnects before the
+	// answer. Its buffer has room for the time.
 	clientGone chan time.Time
 	// continueSent is set when the client was sent 100 Continue.
 	continueSent bool
@@ -70,7 +71,7 @@
 			"close":              (*connection).close,
 			"refuse":             (*connection).refuse,
 			"refuse_timeout":     (*connection).refuseTimeout,
-			"signal_client_gone": func(c *connection) { close(c.clientGone) },
+			"signal_client_gone": (*connection).signalClientGone,
 		},
 	})
 	requestChart.MustBindNames(&connectionEvents)
@@ -129,7 +130,7 @@
 
 // handle starts the handler in a goroutine of its own.
 func (c *connection) handle() {
-	c.clientGone = make(chan time.Time)
+	c.clientGone = make(chan time.Time, 1)
 	c.closeAfterAnswer = c.request.ConnectionClose()
 	request, clientGone := c.request, c.clientGone
 	c.request = nil
@@ -174,6 +175,11 @@
 	c.server.options.Handler(request, response, clientGone)
 }
 
+func (c *connection) signalClientGone() {
+	c.clientGone <- time.Now()
+	close(c.clientGone)
+}
+
 func (c *connection) write() {
 	c.idleSince = time.Now()
 	_, _ = c.conn.Write(c.answer)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -31,8 +31,8 @@
 }
 
 // Handler answers one request. When clientGone is closed, the client has
-// disconnected and the answer will not be sent. Handlers are called from many
-// goroutines.
+// disconnected and the answer will not be sent; its one value is the time when that
+// was noticed. Handlers are called from many goroutines.
 type Handler func(request *fasthttp.Request, response *fasthttp.Response, clientGone <-chan time.Time)
 
 // Options configures a Server.
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -99,19 +99,22 @@
 }
 
 func TestHandlerIsToldOfClientDisconnect(t *testing.T) {
-	notified := make(chan struct{})
+	notified := make(chan time.Time, 1)
 	started := make(chan struct{})
 	_, address := startServer(t, func(_ *fasthttp.Request, _ *fasthttp.Response, clientGone <-chan time.Time) {
 		close(started)
+		at := <-clientGone
 		<-clientGone
-		close(notified)
+		notified <- at
 	}, Limits{})
 	conn, _ := dial(t, address)
 	_, _ = fmt.Fprint(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
 	<-started
+	closedAt := time.Now()
 	_ = conn.Close()
 	select {
-	case <-notified:
+	case at := <-notified:
+		is.New(t).True(!at.Before(closedAt))
 	case <-time.After(10 * time.Second):
 		t.Fatal("the handler was not told that the client has disconnected")
 	}
