--- a/internal/explain/repetition.go
+++ b/internal/explain/repetition.go
@@ -13,6 +13,9 @@
 	"cactuspost.example/internal/structs"
 )
 
+// clockFormat is the format of times of day.
+const clockFormat = "15:04:05.000"
+
 // leaseLength is how long a run can outlive the last line of an agent that was
 // killed: an agent's default lease with its margins.
 const leaseLength = 800 * time.Millisecond
@@ -40,8 +43,14 @@
 	// there is none: the runs are of grants of different jobs, or the line is
 	// missing.
 	Requeue *Line
+	// FirstJob and SecondJob are the lines of the jobs of the two runs.
+	FirstJob, SecondJob jobLines
 }
 
+// jobLines are the lines of the entry that accepted a job: of its admission and of its
+// end. Each is nil if it is not in the logs.
+type jobLines struct{ accepted, ended *Line }
+
 // Gap returns the time from the end of the first run, as its agent reported it, to
 // the start of the second. It is negative if the runs overlapped.
 func (r *Repetition) Gap() time.Duration { return r.Second.Start.Sub(r.First.End) }
@@ -64,12 +73,16 @@
 		byTask[run.Task] = append(byTask[run.Task], run)
 	}
 	requeues := collectRequeues(lines)
+	jobs := collectJobs(lines)
 	var repetitions []Repetition
 	for _, runs := range byTask {
 		slices.SortStableFunc(runs, func(a, b Run) int { return a.Start.Compare(b.Start) })
 		first := 0
 		for second := 1; second < len(runs); second++ {
-			repetitions = append(repetitions, Repetition{First: runs[first], Second: runs[second], Requeue: requeues[attemptOf(&runs[first])]})
+			repetitions = append(repetitions, Repetition{
+				First: runs[first], Second: runs[second], Requeue: requeues[attemptOf(&runs[first])],
+				FirstJob: jobs[jobOfGrant(runs[first].Grant)], SecondJob: jobs[jobOfGrant(runs[second].Grant)],
+			})
 			// A long run may overlap more than the next one.
 			if runs[second].lastsUntil().After(runs[first].lastsUntil()) {
 				first = second
@@ -186,6 +199,27 @@
 	return requeues
 }
 
+// collectJobs returns the lines of each job. The key is what the id of a job and the ids
+// of its grants have in common.
+func collectJobs(lines []Line) map[string]jobLines {
+	jobs := map[string]jobLines{}
+	for i := range lines {
+		l := &lines[i]
+		key := grantPrefix(l.Job)
+		job := jobs[key]
+		switch l.Event {
+		case event.JobAccepted:
+			job.accepted = l
+		case event.JobComplete, event.JobFailed:
+			job.ended = l
+		default:
+			continue
+		}
+		jobs[key] = job
+	}
+	return jobs
+}
+
 func millis(l *Line, key string) time.Duration {
 	value, _ := l.Fields[key].(float64)
 	return time.Duration(value * float64(time.Millisecond))
@@ -226,20 +260,45 @@
 
 // reason says why the task was given out again.
 func (r *Repetition) reason() string {
+	requeued := ""
+	if r.Requeue != nil {
+		requeued = fmt.Sprintf("requeued by %s%s: %s", r.Requeue.Node, formatFields(r.Requeue, "follows"), r.Requeue.Detail)
+	}
 	switch {
-	case r.Requeue != nil:
-		return fmt.Sprintf("requeued by %s%s: %s", r.Requeue.Node, formatFields(r.Requeue, "follows"), r.Requeue.Detail)
 	case jobOfGrant(r.First.Grant) != jobOfGrant(r.Second.Grant):
-		return "the second run is of another job: the caller sent it again"
+		text := "the second run is of another job: the caller sent it again" + r.resubmission()
+		if requeued != "" {
+			text += "; before that " + requeued
+		}
+		return text
+	case requeued != "":
+		return requeued
 	default:
 		return "no line of a requeue"
 	}
 }
 
+// resubmission says which entries accepted the two jobs and when the first one ended, as
+// far as the lines show.
+func (r *Repetition) resubmission() string {
+	text := ""
+	if l := r.FirstJob.accepted; l != nil {
+		text += "; the first job was accepted by " + l.Node + " at " + l.Time.Format(clockFormat)
+	}
+	if l := r.SecondJob.accepted; l != nil {
+		text += "; the second by " + l.Node + " at " + l.Time.Format(clockFormat)
+	}
+	if l := r.FirstJob.ended; l != nil {
+		text += fmt.Sprintf("; the first ended at %s: %d %s%s", l.Time.Format(clockFormat), l.Event, l.Name, formatFields(l, "detail", "caller_left_ms_ago"))
+	} else {
+		text += "; no line of the end of the first"
+	}
+	return text
+}
+
 // String describes the run and what its end was concluded from.
 func (r *Run) String() string {
-	const format = "15:04:05.000"
-	text := fmt.Sprintf("grant %s at %s from %s to %s", r.Grant, r.Node, r.Start.Format(format), r.End.Format(format))
+	text := fmt.Sprintf("grant %s at %s from %s to %s", r.Grant, r.Node, r.Start.Format(clockFormat), r.End.Format(clockFormat))
 	if r.EndLine == nil {
 		return text + " at the latest, no line of its end"
 	}
--- a/internal/explain/repetition_test.go
+++ b/internal/explain/repetition_test.go
@@ -24,7 +24,15 @@
 	return fmt.Sprintf(`{"time":%q,"node":"front-1","event":1045,"job":"0000000000000009-1-19e2ef4ff4b","request":"abc","task":"abc.0.0.0","attempt":1,"follows":%q,"detail":%q}`, at(ms), follows, detail)
 }
 
+// jobLine returns a line of an entry about a job.
+func jobLine(ms, id int, node, job, fields string) string {
+	name := map[int]string{1040: "job accepted", 1043: "job failed"}[id]
+	return fmt.Sprintf(`{"time":%q,"node":%q,"event":%d,"name":%q,"request":"abc","job":%q%s}`, at(ms), node, id, name, job, fields)
+}
+
 const (
+	firstJob    = "0000000000000009-1-19e2ef4ff4b"
+	otherJob    = "0000000000000008-5-19e2ef4ff4b"
 	firstGrant  = "0000000000000009-1-0-1"
 	secondGrant = "0000000000000009-1-0-2"
 	otherGrant  = "0000000000000008-5-0-1"
@@ -88,7 +96,16 @@
 		},
 		"sent again to another entry": {
 			[]string{agentLine(500, 2041, "side-2", firstGrant, lost), agentLine(510, 2052, "side-3", otherGrant, ""), agentLine(610, 2040, "side-3", otherGrant, succeeded)},
-			10 * time.Millisecond, "gap_ms=10: ", "the second run is of another job: the caller sent it again",
+			10 * time.Millisecond, "gap_ms=10: ", "the second run is of another job: the caller sent it again; no line of the end of the first",
+		},
+		"sent again with lines of both entries": {
+			[]string{
+				jobLine(100, 1040, "front-1", firstJob, ""), jobLine(505, 1040, "front-2", otherJob, ""),
+				agentLine(520, 2041, "side-2", firstGrant, `,"outcome":"stopped","run_ms":400`), requeueLine(450, "unlisted", "gone"),
+				agentLine(510, 2052, "side-3", otherGrant, ""), jobLine(518, 1043, "front-1", firstJob, `,"detail":"cancelled","caller_left_ms_ago":300`), agentLine(610, 2040, "side-3", otherGrant, succeeded),
+			},
+			-10 * time.Millisecond, "gap_ms=-10 OVERLAP: ", "the second run is of another job: the caller sent it again; the first job was accepted by front-1 at 04:04:20.100; the second by front-2 at 04:04:20.505; " +
+				"the first ended at 04:04:20.518: 1043 job failed (detail cancelled, caller_left_ms_ago 300); before that requeued by front-1 (follows unlisted): gone",
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
