--- a/internal/agentd/core_test.go
+++ b/internal/agentd/core_test.go
@@ -98,9 +98,8 @@
 		c.Handle(now, coreInput{message: &agent.EntryMessage{}, receivedAt: now.Add(-wait * time.Millisecond)})
 	}
 	c.Handle(now, coreInput{message: &agent.EndpointChanged{}})
-	for range 2 {
-		c.Tick(now)
-	}
+	c.Tick(now)
+	c.Tick(now) // no message since the last tick
 	is.Equal(strings.Count(out.String(), "\n"), 1)
 	is.True(strings.Contains(out.String(), `"event":4033,"part":"core","wait_ms":150,"limit_ms":100,"queued":0}`))
 	counters.set.WritePrometheus(&text)
--- a/internal/entryd/pace_test.go
+++ b/internal/entryd/pace_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"bytes"
-	"encoding/json"
+	"regexp"
 	"testing"
 	"time"
 
@@ -100,15 +100,8 @@
 	for range defaultSilentPeriods {
 		l.fire(inboundEvents.PeriodElapsed)
 	}
-	var line map[string]any
-	is.NoErr(json.Unmarshal(out.Bytes(), &line))
-	is.Equal(line["event"], float64(event.AgentLinkSilent))
-	is.Equal(line["endpoint"], "w1")
-	is.Equal(int(line["received_ms_ago"].(float64))/1000, 60)
-	is.Equal(int(line["alive_ms_ago"].(float64))/1000, 3600)
-	is.Equal(line["pace"], "fast")
-	is.Equal(line["limit_ms"], float64(defaultSilentPeriods*time.Hour.Milliseconds()))
-	is.Equal(line["busy"], false)
+	want := regexp.MustCompile(`"event":1022,.*"endpoint":"w1","received_ms_ago":60...,"alive_ms_ago":3600...,"pace":"fast","limit_ms":18000000,"busy":false}`)
+	is.True(want.Match(out.Bytes()))
 	is.Equal(l.end, dispatch.EndedBySilence)
 }
 
