--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"cactuspost.example/internal/actor"
@@ -57,7 +58,10 @@
 }
 
 // linkClosed reports that a registered link has closed.
-type linkClosed struct{ id dispatch.LinkID }
+type linkClosed struct {
+	id  dispatch.LinkID
+	end dispatch.LinkEnd
+}
 
 // readinessProbe requests the readiness of the entry, for the load balancer.
 type readinessProbe struct{ answer chan<- readinessState }
@@ -66,7 +70,8 @@
 type dropReadiness struct{}
 
 // busyTick is sent busyTickInterval after it was scheduled. It triggers a tick of
-// the dispatcher. What was sent to the core actor before it has been handled by then.
+// the dispatcher, and its wait is a sample of that of all messages: what was sent to the
+// core actor before it has been handled by then.
 type busyTick struct{ sentAt time.Time }
 
 // stopCore stops the actor.
@@ -106,6 +111,8 @@
 	// gateway receives each document that is adopted; nil if it is not needed.
 	gateway         *Gateway
 	suspendDetector *pause.Detector
+	waits           *coreWaits
+	waitAlarm       actor.WaitAlarm
 	// active is set if a message has arrived since the last busyTick.
 	active bool
 	// tickScheduled is set while a timer is running that will send a busyTick.
@@ -128,6 +135,7 @@
 		links:           map[dispatch.LinkID]*link{},
 		drained:         drained,
 		suspendDetector: pause.NewDetector(pause.BootClock),
+		waits:           newCoreWaits(metrics.NewSet()),
 	}
 }
 
@@ -137,6 +145,7 @@
 	switch m := m.(type) {
 	case busyTick:
 		a.recordHandled(m.sentAt)
+		a.recordWait(now, now.Sub(m.sentAt))
 		a.active = false
 		a.tickScheduled = false
 		a.core.Tick(now)
@@ -149,6 +158,15 @@
 	return true
 }
 
+// recordWait records how long a message waited in the inbox, and logs a long wait.
+func (a *coreActor) recordWait(now time.Time, wait time.Duration) {
+	a.waits.inbox.Update(wait.Seconds())
+	if a.waitAlarm.Due(now, wait) {
+		a.log.Event(event.InboxBehind, zap.String("part", "core"), zap.Int64("wait_ms", wait.Milliseconds()),
+			zap.Int64("limit_ms", actor.WaitLimit.Milliseconds()), zap.Int("queued", a.inbox.Len()))
+	}
+}
+
 // detectSuspension tells the dispatcher if the machine was suspended, before it
 // processes any message that arrived in the meantime.
 func (a *coreActor) detectSuspension(now time.Time) {
@@ -165,6 +183,9 @@
 		a.callers[m.reply] = m.answer
 		a.core.Step(now, m.message)
 	case *notification:
+		if left, ok := m.message.(*dispatch.AbandonReply); ok {
+			a.waits.abandoned.Update(now.Sub(left.At).Seconds())
+		}
 		a.core.Step(now, m.message)
 	case *linkHello:
 		a.links[m.link.id] = m.link
@@ -173,7 +194,7 @@
 	case *linkClosed:
 		delete(a.links, m.id)
 		a.readiness.agentConnected = len(a.links) > 0
-		a.core.Step(now, &dispatch.LinkClosed{Link: m.id})
+		a.core.Step(now, &dispatch.LinkClosed{Link: m.id, End: m.end})
 	case *readinessProbe:
 		m.answer <- a.readiness
 	case dropReadiness:
@@ -307,14 +328,7 @@
 	if e.Detail != "" {
 		fields = append(fields, zap.String("detail", e.Detail))
 	}
-	for _, field := range e.Fields {
-		if field.Text != "" {
-			fields = append(fields, zap.String(field.Name, field.Text))
-			continue
-		}
-		fields = append(fields, zap.Int64(field.Name, field.Value))
-	}
-	a.log.Event(e.Event, fields...)
+	a.log.Event(e.Event, append(fields, logging.Fields(e.Fields)...)...)
 }
 
 // signalDrained never blocks: one buffered signal is enough for the receiver.
--- a/internal/entryd/pace_test.go
+++ b/internal/entryd/pace_test.go
@@ -1,11 +1,15 @@
 package entryd
 
 import (
+	"bytes"
+	"regexp"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"cactuspost.example/internal/dispatch"
+	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/structs"
 	"cactuspost.example/internal/wire"
@@ -81,6 +85,24 @@
 	l.stopHeartbeatTimer()
 }
 
+func TestSilenceIsLoggedWithItsAgePaceAndLimit(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	l := establishedLink(&stubConn{}, logging.New(&out, event.Info))
+	defer l.stopHeartbeatTimer()
+	l.server.options.idlePeriod = 2 * time.Hour
+	l.paced = true
+	l.receivedAt = l.receivedAt.Add(-time.Minute)
+	l.aliveAt = l.aliveAt.Add(-time.Hour)
+	l.relax()
+	for range defaultSilentPeriods { // the first of them is a fast one and starts the count anew
+		l.periodElapsed()
+	}
+	want := regexp.MustCompile(`"event":1022,.*"endpoint":"w1","received_ms_ago":60...,"alive_ms_ago":3600...,"pace":"slow","limit_ms":36000000,"busy":false}`)
+	is.True(want.Match(out.Bytes()))
+	is.Equal(l.end, dispatch.EndedBySilence)
+}
+
 func TestAgentOfAnEarlierReleaseIsNotExpectedToSayThatItIsBusy(t *testing.T) {
 	is := is.New(t)
 	conn := &stubConn{}
