What an entry has handled is reported also while its core is behind all the time

Runs were stopped, and the lease of their workers cut, beside an entry whose core was behind by no more than 150 ms; and two runs of one task at once, still, when a link was opened to an entry that was behind by 1.2 s. Cause: a link kept only the newest stamp and the one before it, so with messages more often than the core's lag no stamp ever counted as handled. And progress was recorded only by ticks and when the inbox was empty: the welcome of a busy core reported nothing, which the agent took for an entry of an earlier release, whose confirmations count; a grant after a refusal carried an old stamp and was refused again. Each message of an agent carries the time at which it was read through the core's inbox. An agent remembers for an incarnation of an entry that it reports what it has handled. The link of an entry that is behind is closed 950 ms after its newest handled stamp: 150 ms before the end of the lease left 41 ms for a stop of up to 50 ms.

--- a/internal/agent/bound.go
+++ b/internal/agent/bound.go
@@ -38,9 +38,10 @@
 // endBy returns when the runs of the link's entry must have ended.
 func (c *Core) endBy(l *link) time.Time { return l.vouchedAt.Add(c.tuning.MaxUnheard) }
 
-// stopTime is the time for a stop and its answer, before the lease has to end the run with
-// all others on the endpoint.
-const stopTime = 150 * time.Millisecond
+// stopTime is the time for a stop before the lease has to end the run with all others on
+// the endpoint: two ticks until it is asked for, the stop and its calls, and the margin by
+// which a lease ends before its bound.
+const stopTime = 250 * time.Millisecond
 
 // handlingOverdue reports whether runs of the link's entry have to be stopped because the
 // entry has handled nothing newer for too long.
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -60,7 +60,8 @@
 	// that it had heard before, on any connection to it. An entry that doesn't report this
 	// counts as having handled what it has confirmed.
 	vouchedAt time.Time
-	// handles is set if the entry reports on the latest connection what it has handled.
+	// handles is set once the entry in its known incarnation has reported what it has
+	// handled. Its confirmations alone vouch for nothing any more.
 	handles bool
 
 	// credits counts the credits that the entry holds.
@@ -251,7 +252,6 @@
 	c.lastLinkID++
 	l.id = c.lastLinkID
 	l.confirmedAt = time.Time{}
-	l.handles = false
 	l.paced = false
 	if l.session == 0 {
 		l.session = l.id
@@ -406,7 +406,10 @@
 	c.fireLink(l, linkEvents.Silent)
 }
 
-func (c *Core) adoptIncarnation(l *link) { l.incarnation = l.welcomedIncarnation }
+func (c *Core) adoptIncarnation(l *link) {
+	l.incarnation = l.welcomedIncarnation
+	l.handles = false
+}
 
 // startExchange resets a link that has come up, tells the entry the agent's
 // revision and whether it is leaving, and frees a share of the slots for it.
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -53,8 +53,17 @@
 
 // linkHello registers a link and carries its first message.
 type linkHello struct {
-	link  *link
-	hello *structs.FromAgent
+	link       *link
+	hello      *structs.FromAgent
+	receivedAt time.Time
+}
+
+// agentFrame carries a later message of a link. What was sent to the core actor before
+// receivedAt has been handled when it is.
+type agentFrame struct {
+	link       dispatch.LinkID
+	message    *structs.FromAgent
+	receivedAt time.Time
 }
 
 // linkClosed reports that a registered link has closed.
@@ -80,6 +89,7 @@
 func (*call) isCoreMessage()           {}
 func (*notification) isCoreMessage()   {}
 func (*linkHello) isCoreMessage()      {}
+func (*agentFrame) isCoreMessage()     {}
 func (*linkClosed) isCoreMessage()     {}
 func (*readinessProbe) isCoreMessage() {}
 func (dropReadiness) isCoreMessage()   {}
@@ -187,7 +197,11 @@
 			a.waits.abandoned.Update(now.Sub(left.At).Seconds())
 		}
 		a.core.Step(now, m.message)
+	case *agentFrame:
+		a.recordHandled(m.receivedAt)
+		a.core.Step(now, &dispatch.AgentMessage{Link: m.link, Message: m.message})
 	case *linkHello:
+		a.recordHandled(m.receivedAt)
 		a.links[m.link.id] = m.link
 		a.readiness.agentConnected = true
 		a.core.Step(now, &dispatch.AgentMessage{Link: m.link.id, Message: m.hello})
--- a/internal/entryd/link.go
+++ b/internal/entryd/link.go
@@ -42,8 +42,7 @@
 )
 
 // link is a connection from an agent. Only the connection's event loop accesses
-// its fields, except for id, conn, inbox, log, server, queuedBytes, seen, seenAt, handled
-// and busy.
+// its fields, except for id, conn, inbox, log, server, queuedBytes, stamps and busy.
 type link struct {
 	id    dispatch.LinkID
 	conn  gnet.Conn
@@ -52,13 +51,8 @@
 	// queuedBytes is the number of bytes that were passed to the event loop and
 	// that it has not written yet.
 	queuedBytes atomic.Int64
-	// seen is the highest stamp that has been read. seenAt is when, or later, as a time of
-	// the server's progress.
-	seen   atomic.Uint64
-	seenAt atomic.Int64
-	// handled is the highest stamp that was known to be handled when the one after it was
-	// read. The event loop sets it.
-	handled atomic.Uint64
+	// stamps are those that have been read. Only the event loop replaces them.
+	stamps atomic.Pointer[readStamps]
 	// busy is set while grants may be open on the link. The core actor sets it.
 	busy atomic.Bool
 
@@ -157,6 +151,7 @@
 func newLink(id dispatch.LinkID, conn gnet.Conn, server *linkServer) *link {
 	l := &link{id: id, conn: conn, server: server, inbox: server.inbox, log: server.log, state: inboundChart.Initial(), unsentPeriods: 1}
 	l.busy.Store(true)
+	l.stamps.Store(&readStamps{})
 	l.fastPeriod = true
 	l.receivedAt = time.Now()
 	l.aliveAt = l.receivedAt
@@ -321,24 +316,10 @@
 
 // recordStamp records the stamp of a message that has been read.
 func (l *link) recordStamp(sent structs.Stamp) {
-	if uint64(sent) <= l.seen.Load() {
-		return
-	}
-	progress := l.server.progress
-	l.handled.Store(l.handledBy(progress.handledUntil()))
-	// In this order, so that no stamp is ever taken for one that was read earlier.
-	l.seenAt.Store(int64(progress.at(l.receivedAt)))
-	l.seen.Store(uint64(sent))
-}
-
-// handledBy returns the highest stamp on the link that is known to be handled once the
-// core actor has handled what was sent to it until the given time.
-func (l *link) handledBy(until time.Duration) uint64 {
-	seen := l.seen.Load()
-	if time.Duration(l.seenAt.Load()) <= until {
-		return seen
+	stamps, progress := l.stamps.Load(), l.server.progress
+	if sent > stamps.newest() {
+		l.stamps.Store(stamps.with(readStamp{stamp: sent, readAt: progress.at(l.receivedAt)}, progress.handledUntil()))
 	}
-	return l.handled.Load()
 }
 
 // showsLife reports whether a message shows that the agent hears this entry. An agent
@@ -363,12 +344,12 @@
 	l.registered = true
 	l.endpoint = l.received.Hello.Endpoint
 	l.recordForwarded()
-	l.inbox.Send(&linkHello{link: l, hello: l.received})
+	l.inbox.Send(&linkHello{link: l, hello: l.received, receivedAt: l.receivedAt})
 }
 
 func (l *link) forward() {
 	l.recordForwarded()
-	l.inbox.Send(&notification{message: &dispatch.AgentMessage{Link: l.id, Message: l.received}})
+	l.inbox.Send(&agentFrame{link: l.id, message: l.received, receivedAt: l.receivedAt})
 }
 
 // recordForwarded records the values with which the next heartbeat is compared.
@@ -440,8 +421,8 @@
 // sendHandled is send for the core actor, which has handled everything that was sent to it
 // until the given time, and has queued what follows from it for this link.
 func (l *link) sendHandled(m *structs.FromEntry, until time.Duration) {
-	m.Seen = structs.Stamp(l.seen.Load())
-	m.Handled = structs.Stamp(min(l.handledBy(until), uint64(m.Seen)))
+	stamps := l.stamps.Load()
+	m.Seen, m.Handled = stamps.newest(), stamps.handledBy(until)
 	frame, err := wire.AppendFromEntry(nil, m)
 	if err != nil {
 		l.log.Event(event.AgentLinkEncodingFailed, zap.Uint64("link", uint64(l.id)), errorField(err))
--- a/internal/entryd/progress_test.go
+++ b/internal/entryd/progress_test.go
@@ -100,3 +100,79 @@
 	is.Equal(m.Seen, structs.Stamp(5))
 	is.Equal(m.Handled, structs.Stamp(5))
 }
+
+// A core actor that is behind by a constant time handles messages all the same. What links
+// report follows, however often the agent sends, and what they keep for it is bounded.
+func TestHandledStampFollowsACoreThatIsAConstantTimeBehind(t *testing.T) {
+	is := is.New(t)
+	for _, lag := range []time.Duration{0, 100, 500, 1000, 3000} {
+		for _, interval := range []time.Duration{1, 20, 150, 600} {
+			stamps, late := &readStamps{}, max(0, lag-maxSamples*sampleSpacing/time.Millisecond)
+			for at := time.Duration(1); at < 10_000; at += interval {
+				until := (at - lag) * time.Millisecond
+				stamps = stamps.with(readStamp{stamp: structs.Stamp(at), readAt: at * time.Millisecond}, until)
+				handled := stamps.handledBy(until)
+				is.True(time.Duration(handled) <= max(0, at-lag)) // nothing that is not handled
+				if late == 0 {
+					is.True(at-lag-time.Duration(handled) <= interval+sampleSpacing/time.Millisecond)
+				}
+				is.Equal(stamps.newest(), structs.Stamp(at))
+				is.True(len(stamps.samples) <= maxSamples)
+			}
+			is.True(stamps.handledBy(10*time.Second) > 9000) // once the core has caught up
+		}
+	}
+}
+
+// newBusyActor returns an actor with a link, whose inbox never becomes empty.
+func newBusyActor(step func(dispatch.Message) []dispatch.Effect) (*coreActor, *progress) {
+	inbox := actor.NewInbox[coreMessage](8)
+	p := newProgress(time.Now())
+	a := newCoreActor(&fakeCore{step: step}, inbox, p, logging.Discard(), make(chan struct{}, 1))
+	a.tickScheduled = true
+	inbox.Send(&notification{message: &dispatch.AbandonReply{}})
+	return a, p
+}
+
+// The agent takes a link on which nothing is reported as handled for one to an entry of an
+// earlier release, and trusts its confirmations.
+func TestWelcomeOfABusyCoreReportsWhatIsHandled(t *testing.T) {
+	is := is.New(t)
+	conn := &stubConn{}
+	welcome := &dispatch.Send{Link: 1, Message: &structs.FromEntry{Welcome: &structs.Welcome{}}}
+	a, p := newBusyActor(func(dispatch.Message) []dispatch.Effect { return []dispatch.Effect{welcome} })
+	server := &linkServer{options: linkOptions{heartbeatPeriod: time.Hour}, inbox: actor.NewInbox[coreMessage](8), progress: p, log: logging.Discard()}
+	l := newLink(1, conn, server)
+	defer l.stopHeartbeatTimer()
+	hello := newHello()
+	hello.Sent = 5
+	l.handle(is, hello)
+	a.Handle(time.Now(), &linkHello{link: l, hello: hello, receivedAt: l.receivedAt})
+	a.Flush(time.Now())
+	m, err := wire.DecodeFromEntry(conn.last[wire.HeaderBytes:])
+	is.NoErr(err)
+	is.True(m.Welcome != nil)
+	is.Equal(m.Seen, structs.Stamp(5))
+	is.Equal(m.Handled, structs.Stamp(5))
+}
+
+// A grant that follows from a refusal as unconfirmed carries the stamp of the refusal, or it is
+// refused again.
+func TestGrantAfterARefusalReportsTheRefusalAsHandled(t *testing.T) {
+	is := is.New(t)
+	conn := &stubConn{}
+	grant := &dispatch.Send{Link: 1, Message: &structs.FromEntry{Grants: []structs.Grant{{}}}}
+	a, p := newBusyActor(func(dispatch.Message) []dispatch.Effect { return []dispatch.Effect{grant} })
+	l := establishedLink(conn, logging.Discard())
+	defer l.stopHeartbeatTimer()
+	l.server.progress = p
+	a.links[1] = l
+	l.handle(is, &structs.FromAgent{Heartbeat: true, Sent: 5})
+	p.publish(p.at(l.receivedAt))
+	a.handledUntil = p.handledUntil()
+	refusal := &structs.FromAgent{Refusals: []structs.Refusal{{Reason: structs.Unconfirmed}}, Sent: 9}
+	l.handle(is, refusal)
+	a.Handle(time.Now(), &agentFrame{link: 1, message: refusal, receivedAt: l.receivedAt})
+	a.Flush(time.Now())
+	is.Equal(conn.handled(is), structs.Stamp(9))
+}
