The report of room after a refusal reaches the dispatcher

A worker with room got no task from an entry whose grant it had refused, until its number of free slots changed. Cause: the dispatcher takes room that is reported beside a refusal for less than was refused, and waits for the next report; the link drops that one as unchanged. Change: the message after a refusal is forwarded in any case.

--- a/internal/entryd/link.go
+++ b/internal/entryd/link.go
@@ -68,6 +68,8 @@
 	forwardedIdle     uint32
 	forwardedWaiting  uint32
 	forwardedRevision uint64
+	// forwardNext is set if the next message is forwarded although nothing has changed.
+	forwardNext bool
 	// silentPeriods is the number of heartbeat periods since the last frame that shows
 	// life.
 	silentPeriods int
@@ -103,7 +105,7 @@
 		"slowed_down":   func(l *link) bool { return l.fastPeriod && !l.busy.Load() },
 		"sent_recently": (*link).sentRecently,
 		"unchanged": func(l *link) bool {
-			return l.received.Idle == l.forwardedIdle && l.received.Waiting == l.forwardedWaiting && l.received.Revision == l.forwardedRevision
+			return !l.forwardNext && l.received.Idle == l.forwardedIdle && l.received.Waiting == l.forwardedWaiting && l.received.Revision == l.forwardedRevision
 		},
 		"registered": func(l *link) bool { return l.registered },
 	},
@@ -352,8 +354,11 @@
 	l.inbox.Send(&agentFrame{link: l.id, message: l.received, receivedAt: l.receivedAt})
 }
 
-// recordForwarded records the values with which the next heartbeat is compared.
+// recordForwarded records the values with which the next heartbeat is compared. The
+// dispatcher does not count on room that is reported beside a refusal, so it needs the next
+// report, too.
 func (l *link) recordForwarded() {
+	l.forwardNext = len(l.received.Refusals) > 0
 	l.forwardedIdle = l.received.Idle
 	l.forwardedWaiting = l.received.Waiting
 	l.forwardedRevision = l.received.Revision
--- a/internal/entryd/progress_test.go
+++ b/internal/entryd/progress_test.go
@@ -176,3 +176,15 @@
 	a.Flush(time.Now())
 	is.Equal(conn.handled(is), structs.Stamp(9))
 }
+
+// The dispatcher has counted down the room that an agent reported beside a refusal, and has to
+// hear the agent's next report, though it is the same.
+func TestHeartbeatAfterARefusalIsForwarded(t *testing.T) {
+	is := is.New(t)
+	l := establishedLink(&stubConn{}, logging.Discard())
+	defer l.stopHeartbeatTimer()
+	l.handle(is, &structs.FromAgent{Refusals: []structs.Refusal{{Reason: structs.NoRoom}}, Idle: 40})
+	before := l.inbox.Len()
+	l.handle(is, &structs.FromAgent{Heartbeat: true, Idle: 40})
+	is.Equal(l.inbox.Len(), before+1)
+}
