A request whose client left before its handler began is not submitted

A job was granted although its client had disconnected before it was handed to the dispatcher: request and end of connection can be read as two, and the handler's goroutine sent the job without looking. Change: the handler looks first. The refusal is true: the job is not submitted. Evidence: TestRequestOfACallerThatHasLeftIsNotSubmitted did not return before (the job waited in the inbox). Beside it, TestSubmissionSaysWhenItsRequestArrived checks that a caller's wait is counted from there.

--- a/internal/entryd/core_client.go
+++ b/internal/entryd/core_client.go
@@ -48,6 +48,11 @@
 // askUntil sends a message and returns its answer. When abandon yields a value or
 // is closed, it abandons the call; a nil channel means to wait without a limit.
 func (c *coreClient) askUntil(build messageBuilder, abandon <-chan time.Time) dispatch.Effect {
+	select {
+	case <-abandon:
+		return &dispatch.Refused{Failure: failure.New(failure.Cancelled, failure.NotRun, "the caller disconnected before its request was handled")}
+	default:
+	}
 	id, answer, refusal := c.send(build, failure.NotRun)
 	if refusal != nil {
 		return refusal
--- a/internal/entryd/progress_test.go
+++ b/internal/entryd/progress_test.go
@@ -8,6 +8,7 @@
 
 	"cactuspost.example/internal/actor"
 	"cactuspost.example/internal/dispatch"
+	"cactuspost.example/internal/failure"
 	"cactuspost.example/internal/logging"
 	"cactuspost.example/internal/structs"
 	"cactuspost.example/internal/wire"
@@ -188,3 +189,39 @@
 	l.handle(is, &structs.FromAgent{Heartbeat: true, Idle: 40})
 	is.Equal(l.inbox.Len(), before+1)
 }
+
+func TestRequestOfACallerThatHasLeftIsNotSubmitted(t *testing.T) {
+	is := is.New(t)
+	inbox := actor.NewInbox[coreMessage](8)
+	g := &Gateway{core: &coreClient{inbox: inbox}}
+	left := make(chan time.Time)
+	close(left)
+	_, refusal := g.Run(structs.Submission{}, time.Second, left)
+	is.Equal(refusal.Run, failure.NotRun)
+	is.Equal(inbox.Len(), 0)
+}
+
+// The wait counts from when the request arrived, not from when the core takes it.
+func TestSubmissionSaysWhenItsRequestArrived(t *testing.T) {
+	is := is.New(t)
+	inbox := actor.NewInbox[coreMessage](8)
+	submitted := make(chan *dispatch.RunJob, 1)
+	core := &fakeCore{step: func(m dispatch.Message) []dispatch.Effect {
+		if run, ok := m.(*dispatch.RunJob); ok {
+			submitted <- run
+			return []dispatch.Effect{&dispatch.Refused{Reply: run.Reply, Failure: failure.New(failure.Overloaded, failure.NotRun, "")}}
+		}
+		return nil
+	}}
+	before := time.Now()
+	done := make(chan bool)
+	go func() {
+		(&Gateway{core: &coreClient{inbox: inbox}}).Run(structs.Submission{}, time.Second, nil)
+		close(done)
+	}()
+	go actor.Run(t.Context(), inbox, time.Hour, newCoreActor(core, inbox, newProgress(before), logging.Discard(), make(chan struct{}, 1)))
+	<-done
+	run := <-submitted
+	is.True(!run.ReceivedAt.Before(before) && !run.ReceivedAt.After(time.Now()))
+	is.Equal(run.MaxWait, time.Second)
+}
