A refused credit does not count as a try without one

A task that was refused for want of room, then granted on a credit and refused again, counted that as another worker without room. Cause: the mark of a grant that must not wait outlived its grant. Change: a grant on credits clears it. Evidence: TestRefusedCreditDoesNotCountAsATry failed before.

--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -249,6 +249,7 @@
 	t.slots = s.slotsFor(t.needs)
 	t.reserved = mode == onCredits && !t.lane.long && s.credits.short >= t.slots
 	if mode == onCredits {
+		t.mustNotWait = false
 		s.credits.add(t.reserved, -t.slots)
 	} else {
 		t.enterAgentQueue(s, mode == atOnceOrRefused)
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -217,7 +217,7 @@
 }
 
 // refusesGrants reports whether the agent has lately refused a grant without a credit for
-// another reason than want of room, so that the room that it reports can't be taken.
+// another reason than NoRoom, so that the room that it reports can't be taken.
 func (c *Core) refusesGrants(s *session) bool { return c.now.Before(s.queuePausedUntil) }
 
 // chooseQueue returns the worker where less waits of two at random, among the fastest
--- a/internal/dispatch/spread_test.go
+++ b/internal/dispatch/spread_test.go
@@ -233,3 +233,19 @@
 	h.Equal(len(h.takeGrants()), 30)
 	h.advance(10 * time.Millisecond)
 }
+
+// A refused credit says nothing of the worker's room for grants without one.
+func TestRefusedCreditDoesNotCountAsATry(t *testing.T) {
+	h := newCrowdedHarness(t, 1)
+	h.runJob("j", 1, 1000)
+	link, g := h.takeOnlyGrant()
+	h.refuse(link, g.ID, 0)
+	h.step(&AgentMessage{Link: link, Message: &structs.FromAgent{Offered: structs.Credits{Any: 10}}})
+	_, credited := h.takeOnlyGrant()
+	h.True(!credited.Queued)
+	s := h.core.sessions["w1"]
+	tries := s.granted[credited.ID].tries
+	task := s.granted[credited.ID]
+	h.step(&AgentMessage{Link: link, Message: &structs.FromAgent{Refusals: []structs.Refusal{{Grant: credited.ID, Reason: structs.EndpointDown}}}})
+	h.Equal(task.tries, tries)
+}
