--- a/internal/agent/confirmation_test.go
+++ b/internal/agent/confirmation_test.go
@@ -204,7 +204,7 @@
 
 // A stop takes up to 50 ms and its answer, and the worker's lease ends 60 ms before the bound.
 func TestStopsOfAnEntryThatIsBehindLeaveTimeBeforeTheLeaseEnds(t *testing.T) {
-	const tick, expiryMargin, stopMs, calls = 25 * time.Millisecond, 60 * time.Millisecond, 50 * time.Millisecond, 20 * time.Millisecond
+	const tick, expiryMargin, stopLength, calls = 25 * time.Millisecond, 60 * time.Millisecond, 50 * time.Millisecond, 20 * time.Millisecond
 	worst := time.Duration(0)
 	for phase := range 25 {
 		h, _ := newHandlingHarness(t)
@@ -223,8 +223,8 @@
 		worst = max(worst, h.now.Sub(handledAt))
 	}
 	left := 1200*time.Millisecond - expiryMargin - worst
-	if left < stopMs+calls {
-		t.Errorf("%v left for a stop of up to %v", left, stopMs)
+	if left < stopLength+calls {
+		t.Errorf("%v left for a stop of up to %v", left, stopLength)
 	}
 }
 
