A suspension of the machine is noticed by the first tick after it

After a suspension of seconds, which the steady clock does not count, an agent or an entry could start or grant what had waited, before a message made it look at the other clock. Change: a tick looks first, too. Evidence: TestSuspensionIsNoticedWithoutAMessage failed before.

--- a/internal/agentd/core.go
+++ b/internal/agentd/core.go
@@ -124,10 +124,7 @@
 
 // Handle passes one message to the decisions.
 func (c *core) Handle(now time.Time, in coreInput) bool {
-	if c.suspendDetector.Suspended(now) {
-		c.log.Event(event.MachineSuspended)
-		c.decisions.Step(now, &agent.Suspended{})
-	}
+	c.detectSuspension(now)
 	if !in.receivedAt.IsZero() {
 		c.longestWait = max(c.longestWait, now.Sub(in.receivedAt))
 	}
@@ -142,12 +139,22 @@
 	return true
 }
 
+// detectSuspension tells the decisions if the machine was suspended, before anything else
+// is decided.
+func (c *core) detectSuspension(now time.Time) {
+	if c.suspendDetector.Suspended(now) {
+		c.log.Event(event.MachineSuspended)
+		c.decisions.Step(now, &agent.Suspended{})
+	}
+}
+
 // Tick retries what an inbox had no room for and passes the time to the
 // decisions. It ends the actor when the planned stop is complete.
 func (c *core) Tick(now time.Time) bool {
 	if c.drained {
 		return false
 	}
+	c.detectSuspension(now)
 	c.recordWait(now)
 	c.retryDropped()
 	inputs := c.deferredInputs
--- a/internal/agentd/core_test.go
+++ b/internal/agentd/core_test.go
@@ -13,6 +13,7 @@
 	"cactuspost.example/internal/agent"
 	"cactuspost.example/internal/event"
 	"cactuspost.example/internal/logging"
+	"cactuspost.example/internal/pause"
 	"cactuspost.example/internal/structs"
 )
 
@@ -105,3 +106,17 @@
 	counters.set.WritePrometheus(&text)
 	is.True(strings.Contains(text.String(), "cactuspost_agent_core_wait_seconds_count 1\n"))
 }
+
+// On links without open grants no message may come for seconds, and a tick starts what waits.
+func TestSuspensionIsNoticedWithoutAMessage(t *testing.T) {
+	is := is.New(t)
+	s := &scriptedDecisions{}
+	c := newCore(actor.NewInbox[coreInput](1), s, actor.NewInbox[linksInput](1), actor.NewInbox[runnerInput](1), logging.Discard(), newCounters())
+	boot := time.Hour
+	c.suspendDetector = pause.NewDetector(func() (time.Duration, error) { return boot, nil })
+	now := time.Unix(1, 0)
+	c.Handle(now, coreInput{message: &agent.LinkOpened{Link: 1}})
+	boot += 5 * time.Second
+	is.True(c.Tick(now.Add(coreTickInterval)))
+	is.Equal(s.received[len(s.received)-1], &agent.Suspended{})
+}
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -233,6 +233,7 @@
 
 // Tick runs the dispatcher's periodic work.
 func (a *coreActor) Tick(now time.Time) bool {
+	a.detectSuspension(now)
 	a.core.Tick(now)
 	return true
 }
