--- a/internal/agent/bound.go
+++ b/internal/agent/bound.go
@@ -9,20 +9,19 @@
 // An entry that has ended, or hears nothing more of this agent, leaves runs whose tasks
 // are soon run again: by the entry after its grace, or by another one for a client that
 // sends its job again. So does an entry that is too far behind to know that a client has
-// left. Stops end them in time where everything else works. BoundRuns makes the lease of
+// disconnected. Stops end them in time where everything else works. BoundRuns makes the lease of
 // the endpoint end them where it doesn't: the agent stands still, or its stops get no
 // answer.
 
 // boundGranularity is by how much a bound has to grow to be reported again.
 const boundGranularity = 50 * time.Millisecond
 
-// vouch notes until when the entry is known to have wanted the runs that it has not
-// cancelled.
+// vouch notes until when the entry is known to hold the runs that it has not cancelled.
 func (c *Core) vouch(l *link, handled structs.Stamp) {
 	at := l.confirmedAt
 	switch {
 	case handled != 0:
-		// Its links confirm messages also while its dispatcher has not handled who has left.
+		// Its links confirm messages also while its dispatcher is behind.
 		at = c.opts.Clock.Time(handled)
 		l.handles = true
 	case l.handles:
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -150,9 +150,9 @@
 // linkSilent reports whether the entry may have closed the link: nothing has arrived
 // for too long, or only messages that don't show that the entry still reads what the
 // agent sends. The latter may have been under way since before the entry closed the
-// link, and the entry then runs the tasks elsewhere. Nor is a link of use on which the
-// entry reads and handles nothing: clients that it does not know to have left may have
-// their jobs run elsewhere.
+// link, and the entry then runs the tasks elsewhere. Nor is a link of use whose entry
+// reads messages but is behind: a client may have disconnected and have its job run
+// elsewhere.
 func (c *Core) linkSilent(l *link) bool {
 	received, confirmed := c.silenceLimits(l)
 	if c.now.Sub(l.lastReceivedAt) > received || (!l.idle() && c.handlingOverdue(l)) {
@@ -322,7 +322,7 @@
 	l.lastReceivedAt = c.now
 	c.recordConfirmation(l, m.Message.Seen)
 	vouchedBefore := l.vouchedAt
-	if l.state == linkStates.Up {
+	if l.state == linkStates.Up { // a message that vouches keeps the link; before the welcome none does
 		c.vouch(l, m.Message.Handled)
 	}
 	if c.closeIfSilent(l) {
--- a/internal/entryd/progress.go
+++ b/internal/entryd/progress.go
@@ -7,8 +7,9 @@
 
 // progress says until when the core actor has handled the messages sent to it, with all
 // that follows from them queued for the links. Event loops read it: they go on while the
-// core actor is behind, and what they alone have read says nothing of who has left. Times
-// count from the start of the progress.
+// core actor is behind, and what they alone have read does not say who has disconnected. It
+// is one published number because a message to each event loop would wake it up each time.
+// Times count from the start of the progress.
 type progress struct {
 	start time.Time
 	until atomic.Int64
--- a/internal/structs/link.go
+++ b/internal/structs/link.go
@@ -175,10 +175,10 @@
 	// Seen is the highest stamp that the entry has read on the link. Zero means that
 	// the entry does not report it.
 	Seen Stamp
-	// Handled is a stamp read on the link of which the entry's dispatcher has handled
-	// everything that the entry had heard until then, also that a caller has left. Messages
-	// that follow from it, such as cancels, are not later than this one. Zero means that the
-	// entry does not report it.
+	// Handled is the highest stamp read on the link before the entry's dispatcher had
+	// handled all that was in its inbox by then, also that a caller has disconnected. What
+	// follows from that, such as cancels, is not sent later than this message. Zero means
+	// that the entry does not report it.
 	Handled Stamp
 }
 
