A link that was down for long is opened again

Cause: since an agent remembers that an entry reports what it has handled, the age of the last such report counted also on a connection that has not been welcomed. Change: it counts on links that are up; before that the grace ends the runs. Evidence: TestLinkIsOpenedAgainAfterALongBreak failed before (the link was closed in state greeting).

--- a/internal/agent/bound.go
+++ b/internal/agent/bound.go
@@ -43,9 +43,9 @@
 const stopTime = 250 * time.Millisecond
 
 // handlingOverdue reports whether runs of the link's entry have to be stopped because the
-// entry has handled nothing newer for too long.
+// entry has handled nothing newer for too long. Before its welcome, the grace ends them.
 func (c *Core) handlingOverdue(l *link) bool {
-	return l.handles && c.tuning.MaxUnheard > 0 && !c.now.Before(c.endBy(l).Add(-stopTime))
+	return l.state == linkStates.Up && l.handles && c.tuning.MaxUnheard > 0 && !c.now.Before(c.endBy(l).Add(-stopTime))
 }
 
 // boundOutlastsLease reports whether a run of the link's entry that starts now ends in time
--- a/internal/agent/confirmation_test.go
+++ b/internal/agent/confirmation_test.go
@@ -249,3 +249,22 @@
 	h.handle(h.now)
 	h.Equal(h.startedJobs(), []uint64{2})
 }
+
+// What the entry had handled before the break is old by then, whatever its welcome says.
+func TestLinkIsOpenedAgainAfterALongBreak(t *testing.T) {
+	h, id := newHandlingHarness(t)
+	h.step(&TaskExited{Grant: id, Outcome: structs.Succeeded})
+	h.step(&LinkClosed{Link: h.links[0]})
+	h.advanceTo(h.now.Add(2 * time.Second))
+	link := h.core.links[0].id
+	h.step(&LinkOpened{Link: link})
+	h.advance(10 * time.Millisecond)
+	h.Equal(h.core.links[0].state, linkStates.Greeting)
+	stamp := h.core.opts.Clock.Stamp(h.now)
+	h.step(&EntryMessage{Link: link, Message: &structs.FromEntry{Welcome: &structs.Welcome{Entry: structs.Peer{Incarnation: 1}}, Seen: stamp, Handled: stamp}})
+	h.Equal(h.core.links[0].state, linkStates.Up)
+	h.links[0] = link
+	h.advance(2 * minIdleAge)
+	h.sendQueuedGrant(0, 2, 4, time.Second)
+	h.Equal(h.startedJobs(), []uint64{1, 2})
+}
