--- a/internal/dispatch/attached.go
+++ b/internal/dispatch/attached.go
@@ -67,7 +67,7 @@
 	return nil
 }
 
-// callerLeavesAt returns when the caller stops to wait. It may then send its job elsewhere,
+// callerLeavesAt returns when the caller stops waiting. It may then send its job elsewhere,
 // so the time for which the request waited here counts.
 func (c *Core) callerLeavesAt(m *RunJob) time.Time {
 	if m.ReceivedAt.IsZero() {
