--- a/internal/entryd/link.go
+++ b/internal/entryd/link.go
@@ -42,7 +42,8 @@
 )
 
 // link is a connection from an agent. Only the connection's event loop accesses
-// its fields, except for id, conn, inbox, log, queuedBytes, seen and busy.
+// its fields, except for id, conn, inbox, log, server, queuedBytes, seen, seenAt, handled
+// and busy.
 type link struct {
 	id    dispatch.LinkID
 	conn  gnet.Conn
@@ -51,8 +52,13 @@
 	// queuedBytes is the number of bytes that were passed to the event loop and
 	// that it has not written yet.
 	queuedBytes atomic.Int64
-	// seen is the highest stamp that has been read.
-	seen atomic.Uint64
+	// seen is the highest stamp that has been read. seenAt is when, or later, as a time of
+	// the server's progress.
+	seen   atomic.Uint64
+	seenAt atomic.Int64
+	// handled is the highest stamp that was known to be handled when the one after it was
+	// read. The event loop sets it.
+	handled atomic.Uint64
 	// busy is set while grants may be open on the link. The core actor sets it.
 	busy atomic.Bool
 
@@ -77,6 +83,8 @@
 	paced bool
 	// confirmNext is set if the agent's next frame is to be confirmed at once.
 	confirmNext bool
+	// fastPeriod is set if the present heartbeat period is one of the faster pace.
+	fastPeriod bool
 	// heartbeatTimer fires at the end of each heartbeat period.
 	heartbeatTimer *time.Timer
 	server         *linkServer
@@ -91,6 +99,7 @@
 		"silent": func(l *link) bool {
 			return l.silentPeriods >= cmp.Or(l.server.options.silentPeriods, defaultSilentPeriods)-1
 		},
+		"slowed_down":   func(l *link) bool { return l.fastPeriod && !l.busy.Load() },
 		"sent_recently": (*link).sentRecently,
 		"unchanged": func(l *link) bool {
 			return l.received.Idle == l.forwardedIdle && l.received.Waiting == l.forwardedWaiting && l.received.Revision == l.forwardedRevision
@@ -102,6 +111,7 @@
 		"forward":            (*link).forward,
 		"forward_close":      (*link).forwardClose,
 		"count_heartbeat":    func(l *link) { l.server.unchangedHeartbeats.Add(1) },
+		"restart_silence":    func(l *link) { l.silentPeriods = 0 },
 		"begin_period":       (*link).beginPeriod,
 		"send_heartbeat":     (*link).sendHeartbeat,
 		"stop_timer":         (*link).stopHeartbeatTimer,
@@ -140,6 +150,7 @@
 func newLink(id dispatch.LinkID, conn gnet.Conn, server *linkServer) *link {
 	l := &link{id: id, conn: conn, server: server, inbox: server.inbox, log: server.log, state: inboundChart.Initial(), unsentPeriods: 1}
 	l.busy.Store(true)
+	l.fastPeriod = true
 	l.heartbeatTimer = time.AfterFunc(l.untilHeartbeat(time.Now()), func() { l.runInLoop(l.periodElapsed) })
 	return l
 }
@@ -170,8 +181,9 @@
 	return l.server.options.idlePeriod
 }
 
-// relax lets the link go over to the slower pace at its next heartbeat. Only the core
-// actor calls it.
+// relax lets the link go over to the slower pace at the end of the present period. The
+// agent has kept to that pace since its last result, so its silence is counted anew from
+// there. Only the core actor calls it.
 func (l *link) relax() {
 	if l.server.options.idlePeriod > 0 {
 		l.busy.Store(false)
@@ -184,9 +196,16 @@
 func (l *link) hasten() {
 	l.silentPeriods = 0
 	l.confirmNext = true
-	if l.state == inboundStates.Opened || l.state == inboundStates.Established {
-		l.heartbeatTimer.Reset(l.untilHeartbeat(time.Now()))
+	l.startPeriod()
+}
+
+// startPeriod starts the timer of the next heartbeat period, at the pace that applies now.
+func (l *link) startPeriod() {
+	if l.state != inboundStates.Opened && l.state != inboundStates.Established {
+		return
 	}
+	l.fastPeriod = l.busy.Load()
+	l.heartbeatTimer.Reset(l.untilHeartbeat(time.Now()))
 }
 
 // sentRecently reports whether no heartbeat is due at the end of a period.
@@ -262,7 +281,7 @@
 func (l *link) handleFrame(body []byte) {
 	l.received, l.frameErr = wire.DecodeFromAgent(body)
 	if l.frameErr == nil {
-		l.seen.Store(max(l.seen.Load(), uint64(l.received.Sent)))
+		l.recordStamp(l.received.Sent)
 		l.paced = l.paced || (l.received.Hello != nil && l.received.Hello.Paced)
 		if l.showsLife(l.received) {
 			l.silentPeriods = 0
@@ -285,6 +304,28 @@
 	}
 }
 
+// recordStamp records the stamp of a message that has been read.
+func (l *link) recordStamp(sent structs.Stamp) {
+	if uint64(sent) <= l.seen.Load() {
+		return
+	}
+	progress := l.server.progress
+	l.handled.Store(l.handledBy(progress.handledUntil()))
+	// In this order, so that no stamp is ever taken for one that was read earlier.
+	l.seenAt.Store(int64(progress.at(time.Now())))
+	l.seen.Store(uint64(sent))
+}
+
+// handledBy returns the highest stamp on the link that is known to be handled once the
+// core actor has handled what was sent to it until the given time.
+func (l *link) handledBy(until time.Duration) uint64 {
+	seen := l.seen.Load()
+	if time.Duration(l.seenAt.Load()) <= until {
+		return seen
+	}
+	return l.handled.Load()
+}
+
 // showsLife reports whether a message shows that the agent hears this entry. An agent
 // that has got the grants open on the link is busy; one that is not, after several
 // periods, hasn't heard of them.
@@ -326,9 +367,7 @@
 // periodElapsed is called at the end of each heartbeat period.
 func (l *link) periodElapsed() {
 	l.fire(inboundEvents.PeriodElapsed)
-	if l.state == inboundStates.Opened || l.state == inboundStates.Established {
-		l.heartbeatTimer.Reset(l.untilHeartbeat(time.Now()))
-	}
+	l.startPeriod()
 }
 
 // beginPeriod begins the next heartbeat period.
@@ -352,10 +391,15 @@
 	)
 }
 
-// send queues a message, with the highest stamp that has been read. It may be called
-// from any goroutine and never blocks.
-func (l *link) send(m *structs.FromEntry) {
+// send queues a message, with the highest stamps that have been read and are handled. It
+// may be called from any goroutine and never blocks.
+func (l *link) send(m *structs.FromEntry) { l.sendHandled(m, l.server.progress.handledUntil()) }
+
+// sendHandled is send for the core actor, which has handled everything that was sent to it
+// until the given time, and has queued what follows from it for this link.
+func (l *link) sendHandled(m *structs.FromEntry, until time.Duration) {
 	m.Seen = structs.Stamp(l.seen.Load())
+	m.Handled = structs.Stamp(min(l.handledBy(until), uint64(m.Seen)))
 	frame, err := wire.AppendFromEntry(nil, m)
 	if err != nil {
 		l.log.Event(event.AgentLinkEncodingFailed, zap.Uint64("link", uint64(l.id)), errorField(err))
