--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -55,8 +55,10 @@
 	// resubmission of that job.
 	Submission structs.Submission
 	// MaxWait is how long the caller waits for the answer. It becomes the job's
-	// lifetime.
+	// lifetime, from ReceivedAt on.
 	MaxWait time.Duration
+	// ReceivedAt is when the front end had read the request; zero means now.
+	ReceivedAt time.Time
 }
 
 // FindNamedJob looks up the open job of a RunJob by its name, and cancels it if
@@ -91,7 +93,12 @@
 
 // AbandonReply ends the wait of a caller: it gets the job's current state as
 // Answered at once, unless it was already answered.
-type AbandonReply struct{ Reply ReplyID }
+type AbandonReply struct {
+	Reply ReplyID
+	// At is when the front end noticed that the caller has left or waits no longer. It
+	// is only logged, and may be zero.
+	At time.Time
+}
 
 // AgentMessage is a message from an agent, received on a link.
 type AgentMessage struct {
@@ -100,7 +107,30 @@
 }
 
 // LinkClosed reports that a link has ended, whichever side closed it.
-type LinkClosed struct{ Link LinkID }
+type LinkClosed struct {
+	Link LinkID
+	// End says what ended the link; it is only logged.
+	End LinkEnd
+}
+
+// LinkEnd is what ended a link.
+type LinkEnd uint8
+
+// The ends of a link. EndedByAgent is the end of the connection: the agent closed it,
+// or the network broke it.
+const (
+	EndedByAgent LinkEnd = iota
+	EndedBySilence
+	EndedByOverflow
+	EndedByBadFrame
+	EndedByBadMessage
+	EndedByEntry
+)
+
+// String returns the end as it is logged.
+func (e LinkEnd) String() string {
+	return [...]string{"agent", "silence", "overflow", "bad_frame", "bad_message", "entry"}[e]
+}
 
 // Suspended reports that the machine of this process was suspended, and its
 // monotonic clock with it.
@@ -199,15 +229,7 @@
 	Task   string
 	Detail string
 	// Fields are what the decision was based on.
-	Fields []Field
-}
-
-// Field is a field of an event: a number, whose name includes the unit, or a text.
-type Field struct {
-	Name  string
-	Value int64
-	// Text takes the place of Value if it is not empty.
-	Text string
+	Fields []event.Field
 }
 
 // ConfigAdopted reports that a document is in force from now on.
--- a/internal/entryd/link.go
+++ b/internal/entryd/link.go
@@ -74,8 +74,15 @@
 	forwardedIdle     uint32
 	forwardedWaiting  uint32
 	forwardedRevision uint64
-	// silentPeriods is the number of heartbeat periods since the last frame.
+	// silentPeriods is the number of heartbeat periods since the last frame that shows
+	// life.
 	silentPeriods int
+	// receivedAt and aliveAt are when the last frame and the last one that shows life
+	// arrived, or the link was opened. They are only logged.
+	receivedAt, aliveAt time.Time
+	// endpoint is that of the hello, and end what ended the link. Both are only logged.
+	endpoint string
+	end      dispatch.LinkEnd
 	// unsentPeriods is the number of heartbeat periods, the present one included, in
 	// which no frame was sent.
 	unsentPeriods int
@@ -97,7 +104,7 @@
 var inboundBindings = chart.Bindings[*link]{
 	Guards: map[string]func(*link) bool{
 		"silent": func(l *link) bool {
-			return l.silentPeriods >= cmp.Or(l.server.options.silentPeriods, defaultSilentPeriods)-1
+			return l.silentPeriods >= l.maxSilentPeriods()-1
 		},
 		"slowed_down":   func(l *link) bool { return l.fastPeriod && !l.busy.Load() },
 		"sent_recently": (*link).sentRecently,
@@ -116,10 +123,10 @@
 		"send_heartbeat":     (*link).sendHeartbeat,
 		"stop_timer":         (*link).stopHeartbeatTimer,
 		"close_socket":       (*link).closeSocket,
-		"report_bad_frame":   func(l *link) { l.logEvent(event.BadFrameFromAgent) },
-		"report_bad_message": func(l *link) { l.logEvent(event.BadMessageFromAgent) },
-		"report_silence":     func(l *link) { l.logEvent(event.AgentLinkSilent) },
-		"report_overflow":    func(l *link) { l.logEvent(event.AgentLinkOverflow) },
+		"report_bad_frame":   func(l *link) { l.reportEnd(event.BadFrameFromAgent, dispatch.EndedByBadFrame) },
+		"report_bad_message": func(l *link) { l.reportEnd(event.BadMessageFromAgent, dispatch.EndedByBadMessage) },
+		"report_silence":     (*link).reportSilence,
+		"report_overflow":    func(l *link) { l.reportEnd(event.AgentLinkOverflow, dispatch.EndedByOverflow) },
 	},
 }
 
@@ -151,6 +158,8 @@
 	l := &link{id: id, conn: conn, server: server, inbox: server.inbox, log: server.log, state: inboundChart.Initial(), unsentPeriods: 1}
 	l.busy.Store(true)
 	l.fastPeriod = true
+	l.receivedAt = time.Now()
+	l.aliveAt = l.receivedAt
 	l.heartbeatTimer = time.AfterFunc(l.untilHeartbeat(time.Now()), func() { l.runInLoop(l.periodElapsed) })
 	return l
 }
@@ -173,6 +182,10 @@
 	return wait
 }
 
+func (l *link) maxSilentPeriods() int {
+	return cmp.Or(l.server.options.silentPeriods, defaultSilentPeriods)
+}
+
 // period returns the heartbeat period that applies at present.
 func (l *link) period() time.Duration {
 	if l.busy.Load() {
@@ -280,11 +293,13 @@
 
 func (l *link) handleFrame(body []byte) {
 	l.received, l.frameErr = wire.DecodeFromAgent(body)
+	l.receivedAt = time.Now()
 	if l.frameErr == nil {
 		l.recordStamp(l.received.Sent)
 		l.paced = l.paced || (l.received.Hello != nil && l.received.Hello.Paced)
 		if l.showsLife(l.received) {
 			l.silentPeriods = 0
+			l.aliveAt = l.receivedAt
 		}
 	}
 	switch {
@@ -312,7 +327,7 @@
 	progress := l.server.progress
 	l.handled.Store(l.handledBy(progress.handledUntil()))
 	// In this order, so that no stamp is ever taken for one that was read earlier.
-	l.seenAt.Store(int64(progress.at(time.Now())))
+	l.seenAt.Store(int64(progress.at(l.receivedAt)))
 	l.seen.Store(uint64(sent))
 }
 
@@ -346,6 +361,7 @@
 // event loop blocks, which slows down the agents that it serves.
 func (l *link) register() {
 	l.registered = true
+	l.endpoint = l.received.Hello.Endpoint
 	l.recordForwarded()
 	l.inbox.Send(&linkHello{link: l, hello: l.received})
 }
@@ -362,7 +378,7 @@
 	l.forwardedRevision = l.received.Revision
 }
 
-func (l *link) forwardClose() { l.inbox.Send(&linkClosed{id: l.id}) }
+func (l *link) forwardClose() { l.inbox.Send(&linkClosed{id: l.id, end: l.end}) }
 
 // periodElapsed is called at the end of each heartbeat period.
 func (l *link) periodElapsed() {
@@ -383,12 +399,38 @@
 // closeSocket closes the connection after the queued frames have been sent.
 func (l *link) closeSocket() { _ = l.conn.Close() }
 
-func (l *link) logEvent(id event.ID) {
-	l.log.Event(id,
+// reportEnd logs why the link is closed.
+func (l *link) reportEnd(id event.ID, end dispatch.LinkEnd, fields ...zap.Field) {
+	l.end = end
+	l.log.Event(id, append([]zap.Field{
 		zap.Uint64("link", uint64(l.id)),
 		zap.Stringer("address", l.conn.RemoteAddr()),
+		l.endpointField(),
 		errorField(l.frameErr),
-	)
+	}, fields...)...)
+}
+
+func (l *link) endpointField() zap.Field {
+	if l.endpoint == "" {
+		return zap.Skip()
+	}
+	return zap.String("endpoint", l.endpoint)
+}
+
+// reportSilence logs the pace of the period that has just ended, and the limit at that
+// pace, beside the age of what has arrived.
+func (l *link) reportSilence() {
+	pace, period := "slow", l.server.options.idlePeriod
+	if l.fastPeriod {
+		pace, period = "fast", l.server.options.heartbeatPeriod
+	}
+	now := time.Now()
+	l.reportEnd(event.AgentLinkSilent, dispatch.EndedBySilence,
+		zap.Int64("received_ms_ago", now.Sub(l.receivedAt).Milliseconds()),
+		zap.Int64("alive_ms_ago", now.Sub(l.aliveAt).Milliseconds()),
+		zap.String("pace", pace),
+		zap.Int64("limit_ms", (time.Duration(l.maxSilentPeriods())*period).Milliseconds()),
+		zap.Bool("busy", l.busy.Load()))
 }
 
 // send queues a message, with the highest stamps that have been read and are handled. It
@@ -438,5 +480,10 @@
 
 // requestClose closes the link. It may be called from any goroutine.
 func (l *link) requestClose() {
-	l.runInLoop(func() { l.fire(inboundEvents.CloseRequested) })
+	l.runInLoop(func() {
+		if l.state == inboundStates.Opened || l.state == inboundStates.Established {
+			l.end = dispatch.EndedByEntry
+		}
+		l.fire(inboundEvents.CloseRequested)
+	})
 }
--- a/internal/ingress/connection.go
+++ b/internal/ingress/connection.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"cactuspost.example/charts"
 	"cactuspost.example/internal/chart"
@@ -33,7 +35,8 @@
 	answer []byte
 	// closeAfterAnswer is set when the connection is closed after the answer.
 	closeAfterAnswer bool
-	// clientGone is closed when the client disconnects before the answer.
+	// clientGone yields the time and is closed when the client disconnects before the
+	// answer. Its buffer has room for the time.
 	clientGone chan time.Time
 	// continueSent is set when the client was sent 100 Continue.
 	continueSent bool
@@ -62,6 +65,7 @@
 	requestChart = chart.MustCompile(charts.Files, "request", chart.Bindings[*connection]{
 		Guards: map[string]func(*connection) bool{
 			"close_after_answer": func(c *connection) bool { return c.closeAfterAnswer },
+			"client_left":        (*connection).clientLeft,
 		},
 		Actions: map[string]func(*connection){
 			"record_start":       func(c *connection) { c.requestStarted = time.Now() },
@@ -70,7 +74,7 @@
 			"close":              (*connection).close,
 			"refuse":             (*connection).refuse,
 			"refuse_timeout":     (*connection).refuseTimeout,
-			"signal_client_gone": func(c *connection) { close(c.clientGone) },
+			"signal_client_gone": (*connection).signalClientGone,
 		},
 	})
 	requestChart.MustBindNames(&connectionEvents)
@@ -114,6 +118,14 @@
 	return gnet.None
 }
 
+// clientLeft reports whether the client has closed the connection behind its request. The
+// event loop would learn of it only with its next read, when the handler has begun.
+func (c *connection) clientLeft() bool {
+	var next [1]byte
+	n, _, err := unix.Recvfrom(c.conn.Fd(), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return (err == nil && n == 0) || errors.Is(err, unix.ECONNRESET)
+}
+
 // sendContinue sends 100 Continue, once per request, to a client whose headers
 // expect it before the body.
 func (c *connection) sendContinue(buffered []byte) {
@@ -129,7 +141,7 @@
 
 // handle starts the handler in a goroutine of its own.
 func (c *connection) handle() {
-	c.clientGone = make(chan time.Time)
+	c.clientGone = make(chan time.Time, 1)
 	c.closeAfterAnswer = c.request.ConnectionClose()
 	request, clientGone := c.request, c.clientGone
 	c.request = nil
@@ -174,6 +186,11 @@
 	c.server.options.Handler(request, response, clientGone)
 }
 
+func (c *connection) signalClientGone() {
+	c.clientGone <- time.Now()
+	close(c.clientGone)
+}
+
 func (c *connection) write() {
 	c.idleSince = time.Now()
 	_, _ = c.conn.Write(c.answer)
