--- a/internal/agent/bound.go
+++ b/internal/agent/bound.go
@@ -38,9 +38,10 @@
 // endBy returns when the runs of the link's entry must have ended.
 func (c *Core) endBy(l *link) time.Time { return l.vouchedAt.Add(c.tuning.MaxUnheard) }
 
-// stopTime is the time for a stop and its answer, before the lease has to end the run with
-// all others on the endpoint.
-const stopTime = 150 * time.Millisecond
+// stopTime is the time for a stop before the lease has to end the run with all others on
+// the endpoint: two ticks until it is asked for, the stop and its calls, and the margin by
+// which a lease ends before its bound.
+const stopTime = 250 * time.Millisecond
 
 // handlingOverdue reports whether runs of the link's entry have to be stopped because the
 // entry has handled nothing newer for too long.
@@ -48,6 +49,17 @@
 	return l.handles && c.tuning.MaxUnheard > 0 && !c.now.Before(c.endBy(l).Add(-stopTime))
 }
 
+// boundOutlastsLease reports whether a run of the link's entry that starts now ends in time
+// under the lease that the runs on the endpoint have already. Where jobs are sent again too
+// soon for that, it suffices that the entry has been heard of lately.
+func (c *Core) boundOutlastsLease(l *link) bool {
+	if c.tuning.MaxUnheard == 0 {
+		return true
+	}
+	oldest := max(confirmExchange, c.tuning.MaxUnheard-c.tuning.LongestLease-boundGranularity)
+	return c.now.Sub(l.vouchedAt) <= oldest
+}
+
 // cancelRun stops a run that its entry cancels. The entry may have known for as long as it
 // has vouched for nothing newer that the run has to end, so a message that vouches beside
 // the cancel, or after it, gives the run no more time.
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -32,6 +32,11 @@
 	idleTickInterval = 100 * time.Millisecond
 )
 
+// maxGrantLag is how far the core actor may be behind its inbox and still grant tasks. A
+// caller may send its job elsewhere 1,300 ms after it has disconnected, and what was granted
+// after that must have been stopped by then.
+const maxGrantLag = 300 * time.Millisecond
+
 // coreInboxSize is the capacity of the core actor's inbox. When it is full,
 // requests of callers are refused, while event loops that read from agents and
 // senders of control messages block. The core actor never blocks on any of them,
@@ -53,8 +58,17 @@
 
 // linkHello registers a link and carries its first message.
 type linkHello struct {
-	link  *link
-	hello *structs.FromAgent
+	link       *link
+	hello      *structs.FromAgent
+	receivedAt time.Time
+}
+
+// agentFrame carries a later message of a link. What was sent to the core actor before
+// receivedAt has been handled when it is.
+type agentFrame struct {
+	link       dispatch.LinkID
+	message    *structs.FromAgent
+	receivedAt time.Time
 }
 
 // linkClosed reports that a registered link has closed.
@@ -80,6 +94,7 @@
 func (*call) isCoreMessage()           {}
 func (*notification) isCoreMessage()   {}
 func (*linkHello) isCoreMessage()      {}
+func (*agentFrame) isCoreMessage()     {}
 func (*linkClosed) isCoreMessage()     {}
 func (*readinessProbe) isCoreMessage() {}
 func (dropReadiness) isCoreMessage()   {}
@@ -187,7 +202,11 @@
 			a.waits.abandoned.Update(now.Sub(left.At).Seconds())
 		}
 		a.core.Step(now, m.message)
+	case *agentFrame:
+		a.recordHandled(m.receivedAt)
+		a.core.Step(now, &dispatch.AgentMessage{Link: m.link, Message: m.message})
 	case *linkHello:
+		a.recordHandled(m.receivedAt)
 		a.links[m.link.id] = m.link
 		a.readiness.agentConnected = true
 		a.core.Step(now, &dispatch.AgentMessage{Link: m.link.id, Message: m.hello})
@@ -224,6 +243,9 @@
 	if a.inbox.Len() == 0 {
 		a.recordHandled(now)
 	}
+	if a.progress.at(now)-a.handledUntil > maxGrantLag {
+		a.core.Step(now, &dispatch.Behind{})
+	}
 	a.core.Flush(now)
 	for _, effect := range a.core.Effects() {
 		a.executeEffect(effect)
