Entry: 1001 and 1003 name the incarnations of the agent

An entry that takes a hello of an ended agent for one of a successor logs the same lines as a restart of the agent does. The lines now name the agent that connected and the one that it replaced; an agent logs its own in 4001, so the order can be read from the logs.

Expectations of two tests have the new fields; the case of another agent opens its session with its connection, as agents do.

--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -127,11 +127,13 @@
 func (c *Core) logConnected(s *session, hello *structs.Hello, continuity []event.Field) {
 	r := &s.reconciled
 	c.logEvent(event.AgentConnected, s.endpoint, "", append(continuity, event.Int("held", len(hello.Held)),
-		event.Int("listed", r.listed), event.Int("unlisted", r.unlisted), event.Int("given_up", r.givenUp))...)
+		event.Int("listed", r.listed), event.Int("unlisted", r.unlisted), event.Int("given_up", r.givenUp),
+		event.Text("agent", hello.Incarnation.String()))...)
 }
 
 // logReplaced logs the end of a session with the given number of lost grants.
 func (c *Core) logReplaced(old *session, hello *structs.Hello, lost int) {
 	c.logEvent(event.AgentReplaced, old.endpoint, "", event.Text("cause", old.returnCause(taskEvents.AgentGone)),
-		event.Millis("away_ms", old.away(c.now)), event.Int("held", len(hello.Held)), event.Int("lost", lost))
+		event.Millis("away_ms", old.away(c.now)), event.Int("held", len(hello.Held)), event.Int("lost", lost),
+		event.Text("agent", hello.Incarnation.String()), event.Text("replaced", old.incarnation.String()))
 }
--- a/internal/dispatch/log_test.go
+++ b/internal/dispatch/log_test.go
@@ -33,19 +33,20 @@
 	}}})
 	h.Equal(h.lastLogged(event.AgentConnected), []event.Field{
 		event.Text("session", "kept"), event.Int("away_ms", 100), event.Int("held", 4), event.Int("listed", 2), event.Int("unlisted", 1), event.Int("given_up", 1),
+		event.Text("agent", "0000000000000001"),
 	})
 }
 
 func TestEndOfASessionIsLoggedWithItsCauseAndLostGrants(t *testing.T) {
-	for cause, hello := range map[string]func(*harness){
-		"new_session":    func(h *harness) { h.hello(1, 101) },
-		"agent_replaced": func(h *harness) { h.hello(2, 1) },
-	} {
+	for cause, agent := range map[string]structs.Incarnation{"new_session": 1, "agent_replaced": 2} {
 		h := newTimedHarness(t)
 		h.connectDividedWorker(1, 1, 40)
 		h.runJob("a", 2, 1000)
-		hello(h)
-		h.Equal(h.lastLogged(event.AgentReplaced), []event.Field{event.Text("cause", cause), event.Int("away_ms", 0), event.Int("held", 0), event.Int("lost", 2)})
+		h.hello(agent, 101)
+		h.Equal(h.lastLogged(event.AgentReplaced), []event.Field{
+			event.Text("cause", cause), event.Int("away_ms", 0), event.Int("held", 0), event.Int("lost", 2),
+			event.Text("agent", agent.String()), event.Text("replaced", "0000000000000001"),
+		})
 		h.Equal(h.lastLogged(event.AgentConnected)[0], event.Text("session", "new"))
 	}
 }
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -34,9 +34,9 @@
 )
 
 var entryEvents = []Description{
-	{AgentConnected, Info, "agent connected", "An agent opened a link and offered its slots. The fields say whether its session goes on (kept) or is new, how many runs it holds, and how many of the entry's grants it listed, did not list, and holds although the entry has given them up.", "None."},
+	{AgentConnected, Info, "agent connected", "An agent opened a link and offered its slots. The fields say whether its session goes on (kept) or is new, how many runs it holds, and how many of the entry's grants it listed, did not list, and holds although the entry has given them up. The agent is the incarnation that it logs in 4001.", "None."},
 	{AgentLost, Warning, "agent lost", "The link to an agent was lost; the outcome of its grants is unknown until it reconnects. The fields give their number and what ended the link.", "None, if it reconnects within the grace period."},
-	{AgentReplaced, Warning, "agent replaced", "A new incarnation of the agent serves the endpoint (cause agent_replaced), or the same agent began a new session (new_session); the outcome of the tasks of the old one, lost in the fields, is unknown.", "Look for crashes of the agent if this repeats."},
+	{AgentReplaced, Warning, "agent replaced", "A new incarnation of the agent serves the endpoint (cause agent_replaced), or the same agent began a new session (new_session); the outcome of the tasks of the old one, lost in the fields, is unknown. The fields name both incarnations.", "Look for crashes of the agent if this repeats."},
 	{AgentLeaving, Info, "agent leaving", "An agent announced its planned stop.", "None."},
 	{AgentGone, Warning, "agent gone", "An agent did not reconnect within the grace period; the outcome of its tasks, lost in the fields, is unknown.", "Check the worker."},
 	{WorkerOnProbation, Warning, "worker on probation", "A worker's failure rate is far above that of its pool; it gets no work for a time.", "Check the endpoint on that worker."},
