A late hello of an agent never heard of does not end the living one's grants

Callers saw a task run at two workers at once: an entry that read the hello of an ended agent after that of its successor took the living agent for replaced, lost its grants and ran the tasks elsewhere, while the living agent refused nothing and went on with them.

Cause: the entry ordered the agents of a worker by the arrival of their hellos, and took the hello of another agent for the end of the one that it knew. Only agents that it had known were recognised as earlier ones. On the way a hello is held up by an entry that stands still, a cut, or one event loop of two that is behind.

Change: a hello carries the agent's fencing token, which rises over the agents of a worker. A hello with a lower token than the session's is refused. If the worker's time of day went back, the later agent is accepted once the earlier one is given up.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -113,6 +113,8 @@
 	config     *structs.Document
 	drain      *drain.Drain
 	endpointUp bool
+	// token is the agent's fencing token at the endpoint, zero if it has none.
+	token uint64
 	// predecessorEnded is set once no task of a predecessor runs at the endpoint.
 	predecessorEnded bool
 
@@ -196,7 +198,7 @@
 	case *TaskExited:
 		c.handleTaskExited(m)
 	case *EndpointChanged:
-		c.handleEndpointChanged(m.Up)
+		c.handleEndpointChanged(m)
 	case *CapacityChanged:
 		c.handleCapacityChanged(m.Capacity)
 	case *Suspended:
@@ -303,10 +305,11 @@
 	}
 }
 
-func (c *Core) handleEndpointChanged(up bool) {
-	c.endpointUp = up
-	c.predecessorEnded = c.predecessorEnded || up
-	if !up {
+func (c *Core) handleEndpointChanged(m *EndpointChanged) {
+	c.endpointUp = m.Up
+	c.token = m.Token
+	c.predecessorEnded = c.predecessorEnded || m.Up
+	if !m.Up {
 		c.refuseQueued()
 		c.revokeAllCredits()
 	}
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -51,7 +51,11 @@
 
 // EndpointChanged reports whether the endpoint accepts connections. While it does
 // not, no credits are offered. Core starts with the endpoint down.
-type EndpointChanged struct{ Up bool }
+type EndpointChanged struct {
+	Up bool
+	// Token is the agent's fencing token at the endpoint, zero if it has none.
+	Token uint64
+}
 
 // CapacityChanged reports the endpoint's present capacity, which may shrink and grow
 // while tasks run.
--- a/internal/agent/one_run_at_a_time_test.go
+++ b/internal/agent/one_run_at_a_time_test.go
@@ -66,6 +66,8 @@
 	standstills, unansweredStops bool
 	// paced lets fewer heartbeats be sent on links without open grants.
 	paced bool
+	// successions lets agents be replaced by a new process.
+	successions bool
 }
 
 // overlapSimulation connects the cores of two entries and two agents that have the
@@ -127,8 +129,10 @@
 }
 
 type overlapAgent struct {
-	sim   *overlapSimulation
-	name  string
+	sim  *overlapSimulation
+	name string
+	// token is the agent's fencing token at its worker.
+	token uint64
 	clock structs.Clock
 	core  *agent.Core
 	runs  []*overlapRun
@@ -140,6 +144,11 @@
 	bound time.Time
 	// unreachable is set if the agent can open no more connections.
 	unreachable bool
+	// dead is set once the process has ended. Its worker's runs go on.
+	dead bool
+	// takeoverAt is when the agent begins to stop the runs of its predecessors; zero means
+	// that it has none, or that they have ended.
+	takeoverAt time.Time
 }
 
 // overlapConn is a connection. Each side may stall, and go on to read what was
@@ -180,7 +189,9 @@
 	}
 	sim.listEntries(nil)
 	for i := range 2 {
-		sim.agents = append(sim.agents, sim.newAgent(fmt.Sprintf("w%d", i)))
+		a := sim.newAgent(fmt.Sprintf("w%d", i))
+		a.core.Step(sim.now, &agent.EndpointChanged{Up: true, Token: a.token})
+		sim.agents = append(sim.agents, a)
 	}
 	sim.advance(500 * time.Millisecond)
 	return sim
@@ -197,14 +208,13 @@
 		seeds = []string{"other-e0", "other-e1"}
 	}
 	incarnation := sim.nextIncarnation()
-	a := &overlapAgent{sim: sim, name: name, clock: structs.NewClock(sim.now)}
+	a := &overlapAgent{sim: sim, name: name, token: uint64(incarnation), clock: structs.NewClock(sim.now)}
 	a.core = agent.New(agent.Options{
 		Endpoint: name, Incarnation: incarnation, Pool: "p", Slots: 4, Divided: true,
-		Capacity: structs.Needs{Millicores: 400}, Entries: seeds, Clock: a.clock, Seed: uint64(incarnation),
+		Capacity: structs.Needs{Millicores: 400}, Entries: seeds, Clock: a.clock, Seed: uint64(incarnation), Takeover: true,
 		Tuning: agent.Tuning{SilenceTimeout: 450 * time.Millisecond, EntryGrace: 300 * time.Millisecond, MaxRetryDelay: 200 * time.Millisecond, PauseThreshold: 400 * time.Millisecond,
 			IdleHeartbeat: 600 * time.Millisecond, IdleSilenceTimeout: 5400 * time.Millisecond, MaxUnheard: maxUnheard},
 	})
-	a.core.Step(sim.now, &agent.EndpointChanged{Up: true})
 	return a
 }
 
@@ -259,6 +269,9 @@
 		for _, a := range sim.agents {
 			a.endRuns()
 		}
+		for _, a := range sim.agents {
+			a.takeOver()
+		}
 		if sim.now.UnixMilli()%overlapHeartbeat.Milliseconds() == 0 {
 			sim.sendHeartbeats()
 		}
@@ -597,6 +610,56 @@
 	}
 }
 
+// succeed ends the process of an agent and starts another one for its worker. What the old
+// one has sent stays under way, with the end of its connections behind it or, after a loss
+// of power, without.
+func (sim *overlapSimulation) succeed(*overlapEntry) {
+	a := rapid.SampledFrom(sim.livingAgents()).Draw(sim.t, "agent")
+	withEnd := rapid.Bool().Draw(sim.t, "with end")
+	sim.record("%s: its process ends, %v", a.name, withEnd)
+	a.dead, a.still = true, true
+	for _, c := range sim.conns {
+		if c.agent == a {
+			c.agentClosed = c.agentClosed || withEnd
+		}
+	}
+	for _, r := range a.runs {
+		if end := sim.now.Add(leaseTime); end.Before(r.endsAt) {
+			r.endsAt, r.outcome = end, structs.Lost
+		}
+	}
+	successor := sim.newAgent(a.name)
+	successor.takeoverAt = sim.now.Add(time.Duration(rapid.IntRange(1, 60).Draw(sim.t, "restart")) * overlapTick)
+	sim.agents = append(sim.agents, successor)
+}
+
+// livingAgents returns the agents whose process goes on, at least one for each worker.
+func (sim *overlapSimulation) livingAgents() []*overlapAgent {
+	return slices.DeleteFunc(slices.Clone(sim.agents), func(a *overlapAgent) bool { return a.dead })
+}
+
+// takeOver stops the runs of the agent's predecessors, and lets the agent begin once these
+// have ended.
+func (a *overlapAgent) takeOver() {
+	if a.still || a.takeoverAt.IsZero() || a.sim.now.Before(a.takeoverAt) {
+		return
+	}
+	for _, other := range a.sim.agents {
+		if !other.dead || other.name != a.name || len(other.runs) == 0 {
+			continue
+		}
+		for _, r := range other.runs {
+			if !r.stopAsked {
+				other.stopRun(r.grant.ID)
+			}
+		}
+		return
+	}
+	a.takeoverAt = time.Time{}
+	a.sim.record("%s: its successor has taken over", a.name)
+	a.step(&agent.EndpointChanged{Up: true, Token: a.token})
+}
+
 func (sim *overlapSimulation) request(name string, e *overlapEntry) {
 	sim.lastReply++
 	submission := structs.Submission{Name: name, Team: "t", Service: "s", Needs: structs.Needs{Millicores: 100}}
@@ -634,6 +697,9 @@
 	if sim.faults.standstills {
 		actions = append(actions, sim.stopSomeAgent, sim.stopSomeAgent)
 	}
+	if sim.faults.successions {
+		actions = append(actions, sim.succeed)
+	}
 	actions[rapid.IntRange(0, len(actions)-1).Draw(sim.t, "action")](e)
 }
 
@@ -714,7 +780,7 @@
 }
 
 func (sim *overlapSimulation) stopSomeAgent(*overlapEntry) {
-	rapid.SampledFrom(sim.agents).Draw(sim.t, "agent").toggleStandstill()
+	rapid.SampledFrom(sim.livingAgents()).Draw(sim.t, "agent").toggleStandstill()
 }
 
 func (sim *overlapSimulation) toggleTrickle(*overlapEntry) {
@@ -767,6 +833,10 @@
 		"paced, slow connections":       {paced: true, restarts: true, trickles: true},
 		"paced, agents stand still":     {paced: true, standstills: true},
 		"paced, stops unanswered":       {paced: true, unansweredStops: true, standstills: true},
+
+		"agents are replaced":                  {paced: true, successions: true},
+		"agents are replaced, entries restart": {paced: true, successions: true, restarts: true, backlogs: true},
+		"agents are replaced and stand still":  {paced: true, successions: true, standstills: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
@@ -777,7 +847,7 @@
 				for _, e := range sim.entries {
 					e.paused, e.behind = false, false
 				}
-				for _, a := range sim.agents {
+				for _, a := range sim.livingAgents() {
 					if a.still {
 						a.toggleStandstill()
 					}
--- a/internal/agentd/leased_runner.go
+++ b/internal/agentd/leased_runner.go
@@ -110,7 +110,7 @@
 	case *leased.Exited:
 		r.reportExit(e)
 	case *leased.AvailabilityChanged:
-		r.reportAvailability(e.Up)
+		r.reportAvailability(e)
 	case *leased.WorkerLost:
 		r.log.Event(event.WorkerReplaced, zap.Stringer("cause", e.Cause), zap.Uint64("token", e.Token))
 		r.workerLost()
@@ -181,11 +181,11 @@
 		zap.String("state", e.State), zap.Int("attempts", e.Attempts), zap.Bool("executed", e.Executed), zap.Duration("lease_left_ms", e.LeaseLeft))
 }
 
-func (r *leasedRunner) reportAvailability(up bool) {
+func (r *leasedRunner) reportAvailability(e *leased.AvailabilityChanged) {
 	id := event.EndpointDown
-	if up {
+	if e.Up {
 		id = event.EndpointUp
 	}
 	r.log.Event(id)
-	r.core.Send(coreInput{message: &agent.EndpointChanged{Up: up}})
+	r.core.Send(coreInput{message: &agent.EndpointChanged{Up: e.Up, Token: e.Token}})
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -14,6 +14,8 @@
 type session struct {
 	endpoint    string
 	incarnation structs.Incarnation
+	// token is Hello.Token, which orders the agents of one endpoint.
+	token uint64
 	// sessionNumber is Hello.Session, connection the highest Hello.Connection
 	// handled so far.
 	sessionNumber uint64
@@ -154,8 +156,9 @@
 		return nil
 	}
 	s := c.sessions[hello.Endpoint]
-	if s != nil && slices.Contains(s.endedIncarnations, hello.Incarnation) {
-		c.logEvent(event.BadMessageFromAgent, hello.Endpoint, "the hello is from an earlier incarnation of the agent")
+	if s != nil && (slices.Contains(s.endedIncarnations, hello.Incarnation) || s.succeeds(hello)) {
+		c.logEvent(event.BadMessageFromAgent, hello.Endpoint, "the hello is from an earlier incarnation of the agent",
+			event.Text("agent", hello.Incarnation.String()), event.Text("present", s.incarnation.String()))
 		c.closeLink(m.Link)
 		return nil
 	}
@@ -176,10 +179,17 @@
 	return s
 }
 
+// succeeds reports whether the session's agent has taken the endpoint over from the agent
+// that sent the hello, which was delayed. That the agent's runs have ended follows only from
+// the hello of a successor.
+func (s *session) succeeds(hello *structs.Hello) bool {
+	return s.incarnation != hello.Incarnation && hello.Token != 0 && hello.Token < s.token
+}
+
 func (c *Core) newSession(hello *structs.Hello) *session {
 	p := c.pool(hello.Pool)
 	s := &session{
-		endpoint: hello.Endpoint, incarnation: hello.Incarnation, sessionNumber: hello.Session, dataCentre: hello.DataCentre,
+		endpoint: hello.Endpoint, incarnation: hello.Incarnation, token: hello.Token, sessionNumber: hello.Session, dataCentre: hello.DataCentre,
 		capacity: hello.Capacity, slots: hello.Slots, divided: hello.Divided, pool: p,
 		state: sessionChart.Initial(), health: healthChart.Initial(),
 		granted: map[structs.GrantID]*task{},
--- a/internal/leased/charts.go
+++ b/internal/leased/charts.go
@@ -61,8 +61,8 @@
 			"begin_lease":        (*Core).beginLease,
 			"reconcile":          (*Core).reconcile,
 			"lose_runs":          (*Core).loseRuns,
-			"report_up":          func(c *Core) { c.emit(&AvailabilityChanged{Up: true}) },
-			"report_down":        func(c *Core) { c.emit(&AvailabilityChanged{Up: false}) },
+			"report_up":          func(c *Core) { c.emit(&AvailabilityChanged{Up: true, Token: c.token}) },
+			"report_down":        func(c *Core) { c.emit(&AvailabilityChanged{Up: false, Token: c.token}) },
 			"report_worker_lost": func(c *Core) { c.emit(&WorkerLost{Cause: c.endCause, Token: c.token}) },
 		},
 	})
--- a/internal/leased/messages.go
+++ b/internal/leased/messages.go
@@ -239,7 +239,11 @@
 }
 
 // AvailabilityChanged reports whether the worker can be given runs.
-type AvailabilityChanged struct{ Up bool }
+type AvailabilityChanged struct {
+	Up bool
+	// Token is this agent's fencing token.
+	Token uint64
+}
 
 // WorkerLost reports that the worker was replaced or that another agent has taken it
 // over. The agent must end: entries learn from its successor which runs were lost.
--- a/internal/structs/link.go
+++ b/internal/structs/link.go
@@ -58,6 +58,9 @@
 	// Endpoint is the name of the endpoint that the agent serves.
 	Endpoint    string
 	Incarnation Incarnation
+	// Token is the agent's fencing token at the endpoint, which is higher than that of
+	// every agent before it. Zero means that the endpoint knows no tokens.
+	Token uint64
 	// Connection increases with each connection attempt of the agent. The entry
 	// uses it to recognise a hello that arrives after a more recent one.
 	Connection uint64
