Simulation of two agents: a process that has ended does nothing

A connection of an ended agent that broke was reported to its core, which then started a grant that had waited.

--- a/internal/agent/one_run_at_a_time_test.go
+++ b/internal/agent/one_run_at_a_time_test.go
@@ -475,6 +475,9 @@
 }
 
 func (a *overlapAgent) step(m agent.Message) {
+	if a.dead {
+		return
+	}
 	a.core.Step(a.sim.now, m)
 	a.flush()
 }
