The next life of a worker is fenced off by the agent that finds it

Cause: a stop, or the rejection of a start as late, holds for one life of a worker: the next one knows neither, has seen no fencing token, and its clock starts anew. The agent that found the new life ended at once, and the next one came only with the worker's next heartbeat, up to a second and a half later.

Change: the agent that learns of the new life derives its token from the answer and polls with it at once, stops what runs there, and ends when nothing does (state fencing). Answers to polls that did not carry that token don't count. While a start may be executed late, a worker that refuses connections is polled every 25 ms in place of 100.

TestRunsAreNotReportedWhenTheWorkerIsReplaced awaits the end of the agent one poll later; that nothing is reported before holds as it did.

--- a/internal/leased/charts.go
+++ b/internal/leased/charts.go
@@ -61,6 +61,7 @@
 			"begin_lease":        (*Core).beginLease,
 			"reconcile":          (*Core).reconcile,
 			"lose_runs":          (*Core).loseRuns,
+			"forget_runs":        (*Core).forgetRuns,
 			"report_up":          func(c *Core) { c.emit(&AvailabilityChanged{Up: true, Token: c.token}) },
 			"report_down":        func(c *Core) { c.emit(&AvailabilityChanged{Up: false, Token: c.token}) },
 			"report_worker_lost": func(c *Core) { c.emit(&WorkerLost{Cause: c.endCause, Token: c.token}) },
@@ -86,6 +87,7 @@
 	ConnectionRefused chart.Event `chart:"connection_refused"`
 	TokenRejected     chart.Event `chart:"token_rejected"`
 	Replaced          chart.Event `chart:"replaced"`
+	Reborn            chart.Event `chart:"reborn"`
 }
 
 var leaseStates struct {
@@ -93,6 +95,7 @@
 	StoppingForeignRuns chart.State `chart:"stopping_foreign_runs"`
 	Held                chart.State `chart:"held"`
 	Unresponsive        chart.State `chart:"unresponsive"`
+	Fencing             chart.State `chart:"fencing"`
 	Overtaken           chart.State `chart:"overtaken"`
 	Ended               chart.State `chart:"ended"`
 }
--- a/internal/leased/core.go
+++ b/internal/leased/core.go
@@ -47,6 +47,9 @@
 	// refusedRetryInterval is the time between polls of a worker that refuses
 	// connections.
 	refusedRetryInterval = 100 * time.Millisecond
+	// fencingRetryInterval takes its place while a start may be executed late: until its
+	// first poll with a token, the worker's next incarnation would execute it.
+	fencingRetryInterval = 25 * time.Millisecond
 	// stopPatience is how long a stop request may stay unconfirmed before the lease is
 	// no longer extended. It allows two attempts; without it, a run whose stop gets no
 	// answer would outlive the time after which its task is repeated.
@@ -90,6 +93,8 @@
 	// born is the time of the worker's start in Unix milliseconds, which identifies
 	// its incarnation; zero while unknown.
 	born int64
+	// rebornAt is when this agent learned of the incarnation that it fences.
+	rebornAt time.Time
 	// workerClock is the worker's clock as read shortly before its answer arrived
 	// at workerClockAt.
 	workerClock   time.Duration
@@ -115,6 +120,8 @@
 	runs       map[structs.GrantID]*workerRun
 	runsByTask map[string]*workerRun
 	lastRuns   map[string]lastRun
+	// startUnansweredAt is when a start request last got no answer.
+	startUnansweredAt time.Time
 	// numbersExaminedAt is when lastRuns was last examined.
 	numbersExaminedAt time.Time
 	// foreignRuns holds the runs that the worker lists and this agent did not request
@@ -210,12 +217,12 @@
 
 // pollIfDue sends the next poll if one is due. While runs are active, an unanswered
 // poll is soon followed by another one; otherwise it would hide the ends of runs
-// until its timeout.
+// until its timeout. So is one that fences a new incarnation.
 func (c *Core) pollIfDue() {
 	if c.now.Before(c.nextPollAt) || c.state == leaseStates.Overtaken || leaseChart.Final(c.state) {
 		return
 	}
-	overlap := len(c.runs) > 0 && c.now.Sub(c.lastPollAt) >= overlapPollAfter && c.pollsInFlight < maxConcurrentPolls
+	overlap := (len(c.runs) > 0 || c.state == leaseStates.Fencing) && c.now.Sub(c.lastPollAt) >= overlapPollAfter && c.pollsInFlight < maxConcurrentPolls
 	if c.pollsInFlight > 0 && !overlap && !c.pollNow {
 		return
 	}
@@ -285,6 +292,9 @@
 
 func (c *Core) handlePollAnswered(m *PollAnswered) {
 	c.pollsInFlight--
+	if c.state == leaseStates.Fencing && !m.SentAt.After(c.rebornAt) {
+		return // the poll did not carry the token for this incarnation
+	}
 	c.pollAnswer = m
 	switch m.Result {
 	case Done:
@@ -298,7 +308,7 @@
 		c.handleReplaced()
 	case ConnectionRefused:
 		c.processGoneAt = c.now
-		c.nextPollAt = c.now.Add(refusedRetryInterval)
+		c.nextPollAt = c.now.Add(c.refusedInterval())
 		c.fireLease(leaseEvents.ConnectionRefused)
 	default:
 		c.nextPollAt = c.lastPollAt.Add(retryInterval)
@@ -312,6 +322,14 @@
 	}
 }
 
+// refusedInterval returns the time until the next poll of a worker that refuses connections.
+func (c *Core) refusedInterval() time.Duration {
+	if !c.startUnansweredAt.IsZero() && c.now.Sub(c.startUnansweredAt) < runNumberRetention {
+		return fencingRetryInterval
+	}
+	return refusedRetryInterval
+}
+
 func (c *Core) recordAnswer(clock time.Duration) {
 	c.workerClock = clock
 	c.workerClockAt = c.now
@@ -320,7 +338,7 @@
 
 func (c *Core) handleReport(m *PollAnswered) {
 	if c.born != 0 && m.Report.Born != 0 && m.Report.Born != c.born {
-		c.handleReplaced()
+		c.handleReborn(m.Report.Born)
 		return
 	}
 	c.born = cmp.Or(c.born, m.Report.Born)
@@ -347,6 +365,30 @@
 	c.fireLease(leaseEvents.Replaced)
 }
 
+// handleReborn handles an answer of another incarnation under the worker's id. It has seen
+// no stop and no token of this agent's, so it would execute starts of the earlier incarnation
+// that were left unanswered there, and whose tasks run elsewhere by now. Answers may overtake
+// each other, so one of an earlier incarnation changes nothing while a later one is fenced.
+func (c *Core) handleReborn(born int64) {
+	if c.state == leaseStates.Fencing && born < c.born {
+		return
+	}
+	c.processGoneAt = c.now
+	c.endCause = Replaced
+	c.born = born
+	c.rebornAt = c.now
+	c.lastSeen = 0
+	c.nextPollAt = time.Time{}
+	c.pollNow = true
+	c.fireLease(leaseEvents.Reborn)
+}
+
+// forgetRuns drops all runs without a report: the worker's new incarnation may execute the
+// last starts. Entries learn from the next agent that the runs are lost.
+func (c *Core) forgetRuns() {
+	c.runs, c.runsByTask = map[structs.GrantID]*workerRun{}, map[string]*workerRun{}
+}
+
 // deriveToken derives the fencing token from the time of the worker's start and its
 // clock. The token is higher than that of any previous agent, which read the same
 // clock earlier, and than the tokens of earlier incarnations: a call of one of these
--- a/internal/leased/core_test.go
+++ b/internal/leased/core_test.go
@@ -293,12 +293,67 @@
 		h.step(&StartAnswered{Run: h.requestStart(1), Result: result})
 		h.answerPoll(Done, Report{Born: 6})
 		h.Equal(lastEffect[*AvailabilityChanged](h).Up, false)
+		h.tick(time.Millisecond)
+		h.answerPoll(Done, Report{Born: 6})
 		h.Equal(lastEffect[*WorkerLost](h).Cause, Replaced)
 		h.tick(2 * defaultLease)
 		h.Equal(countEffects[*Exited](h), 0)
 	}
 }
 
+// A worker that has started again under its id knows neither the stop of a start that was
+// left unanswered nor a fencing token, and its clock starts anew.
+func TestLateStartOfAnEarlierLifeIsFencedOff(t *testing.T) {
+	h := newHarness(t)
+	h.tick(0)
+	h.answerPoll(Done, Report{Born: 1_000_000})
+	h.answerPoll(Done, Report{Born: 1_000_000})
+	run := h.requestStart(1)
+	late := lastEffect[*SendStart](h)
+	h.step(&StartAnswered{Run: run, Result: Unanswered})
+	h.step(&StopAnswered{Run: run, Result: Done})
+	h.tick(time.Millisecond)
+	h.answerPoll(Done, Report{Born: 1_000_000})
+	h.Equal(lastEffect[*Exited](h).Outcome, structs.NotSent) // the task runs elsewhere from here on
+
+	inFlight := h.now
+	h.tick(100 * time.Millisecond)
+	h.workerClock = 5 * time.Millisecond
+	h.answerPoll(Done, Report{Born: 1_200_000})
+	fence := lastEffect[*SendPoll](h)
+	h.True(fence.Token > late.Token)
+	h.Equal(fence.Until, time.Duration(0)) // what may run there gets no time
+	h.Equal(fence.LastSeen, uint64(0))
+
+	h.tick(time.Millisecond)
+	h.step(&PollAnswered{Result: Done, SentAt: inFlight, Report: Report{Born: 1_200_000}})
+	h.step(&PollAnswered{Result: Fenced, SentAt: inFlight, Report: Report{Born: 1_200_000}})
+	h.step(&PollAnswered{Result: Done, SentAt: h.now, Report: Report{Born: 1_000_000}}) // overtaken
+	h.Equal(countEffects[*WorkerLost](h), 0)
+	h.answerPoll(Done, Report{Born: 1_200_000, Running: []RunID{run}})
+	h.Equal(*lastEffect[*SendStop](h), SendStop{Run: run, Token: fence.Token})
+	h.Equal(countEffects[*WorkerLost](h), 0)
+	h.tick(60 * time.Millisecond)
+	h.answerPoll(Done, Report{Born: 1_200_000})
+	h.Equal(lastEffect[*WorkerLost](h).Cause, Replaced)
+}
+
+func TestNextIncarnationIsLookedForSoonerWhileAStartMayBeLate(t *testing.T) {
+	polls := func(result CallResult) int {
+		h := newHeldHarness(t)
+		run := h.requestStart(1)
+		h.step(&StartAnswered{Run: run, Result: result})
+		h.step(&StopAnswered{Run: run, Result: Done})
+		h.answerPoll(ConnectionRefused, Report{})
+		before := countEffects[*SendPoll](h)
+		h.refusePollsUntil(h.now.Add(300 * time.Millisecond))
+		return countEffects[*SendPoll](h) - before
+	}
+	h := newHarness(t)
+	h.True(polls(Done) <= 4)
+	h.True(polls(Unanswered) >= 9)
+}
+
 // Every poll renews the lease of all runs, so a run whose stop gets no answer would
 // go on until its entry repeats the task.
 func TestLeaseIsNotRenewedWhileAStopGetsNoAnswer(t *testing.T) {
--- a/internal/leased/run.go
+++ b/internal/leased/run.go
@@ -86,6 +86,7 @@
 		r.confirmed = true
 		c.fireRun(r, runEvents.Accepted)
 	case Unanswered:
+		c.startUnansweredAt = c.now
 		c.fireRun(r, runEvents.Unanswered)
 	case Fenced:
 		c.fireRun(r, runEvents.Rejected)
--- a/internal/leased/simulation_test.go
+++ b/internal/leased/simulation_test.go
@@ -52,6 +52,10 @@
 	// stopRequestedAt holds when each run was first requested to stop.
 	stopRequestedAt map[generationRun]time.Time
 	nextGrant       uint64
+	// shownBorn is the incarnation in the latest answer to a poll.
+	shownBorn int64
+	// startTokens holds the highest fencing token of the starts for each incarnation.
+	startTokens map[int64]uint64
 }
 
 // generationRun is a run of one of the agents, which number their runs separately.
@@ -64,7 +68,7 @@
 	s := &simulation{
 		t: t, now: time.UnixMilli(1_000_000), requested: map[string]structs.GrantID{}, agentBorn: map[int]int64{},
 		requestedRuns: map[structs.GrantID]generationRun{}, reported: map[generationRun]bool{},
-		stopRequestedAt: map[generationRun]time.Time{},
+		stopRequestedAt: map[generationRun]time.Time{}, startTokens: map[int64]uint64{},
 	}
 	s.startWorker()
 	s.startAgent()
@@ -182,6 +186,7 @@
 	for _, effect := range s.core.Effects() {
 		switch e := effect.(type) {
 		case *SendStart:
+			s.startTokens[s.agentBorn[s.generation]] = max(s.startTokens[s.agentBorn[s.generation]], e.Token)
 			run := generationRun{generation: s.generation, id: e.Run}
 			s.requestedRuns[s.requested[e.Run.Task]] = run
 			s.deliver(func() CallResult { return s.startRun(run, e) }, func(result CallResult) Message { return &StartAnswered{Run: e.Run, Result: result} })
@@ -194,6 +199,7 @@
 		case *AvailabilityChanged:
 			s.checkTakenOver(e)
 		case *WorkerLost:
+			s.checkFenced(e)
 			s.startAgent()
 			return
 		}
@@ -288,11 +294,13 @@
 		core := s.core
 		s.delayed = append(s.delayed, func() {
 			if s.core == core {
+				s.shownBorn = report.Born
 				s.step(&PollAnswered{Result: Done, SentAt: sentAt, Report: report})
 			}
 		})
 		return
 	}
+	s.shownBorn = report.Born
 	s.step(&PollAnswered{Result: result, SentAt: sentAt, Report: report})
 }
 
@@ -351,6 +359,19 @@
 	}
 }
 
+// checkFenced checks that the worker's new incarnation rejects the starts of agents of
+// earlier ones when the agent that found it ends.
+func (s *simulation) checkFenced(e *WorkerLost) {
+	if e.Cause != Replaced || s.shownBorn != s.born {
+		return // the worker has started anew since
+	}
+	for born, token := range s.startTokens {
+		if born != s.born && token >= s.token {
+			s.t.Fatalf("a start of incarnation %d with token %d would be executed by incarnation %d, which knows token %d", born, token, s.born, s.token)
+		}
+	}
+}
+
 // checkStops checks that a run ends soon after its stop was requested, even if no
 // stop request is answered.
 func (s *simulation) checkStops() {
