Agents of different workers are ordered by the workers' starts

A worker that took the place of another one stayed unused by an entry for up to three seconds: the entry refused each hello of its agent as that of an earlier one.

Cause: ordered the agents of an endpoint by their fencing tokens.

Change: a hello carries the worker's start and the token; the start goes first, as it does where the supervisor orders the worker's announcements.

TestAgentOfALaterWorkerIsAcceptedWhateverItsToken.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -113,8 +113,8 @@
 	config     *structs.Document
 	drain      *drain.Drain
 	endpointUp bool
-	// token is the agent's fencing token at the endpoint, zero if it has none.
-	token uint64
+	// tenure orders the agent among those of the endpoint.
+	tenure structs.Tenure
 	// predecessorEnded is set once no task of a predecessor runs at the endpoint.
 	predecessorEnded bool
 
@@ -307,7 +307,7 @@
 
 func (c *Core) handleEndpointChanged(m *EndpointChanged) {
 	c.endpointUp = m.Up
-	c.token = m.Token
+	c.tenure = m.Tenure
 	c.predecessorEnded = c.predecessorEnded || m.Up
 	if !m.Up {
 		c.refuseQueued()
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -303,7 +303,7 @@
 // other entries, since it isn't known yet which incarnation will answer.
 func (c *Core) sendHello(l *link) {
 	hello := &structs.Hello{
-		Endpoint: c.opts.Endpoint, Incarnation: c.opts.Incarnation, Token: c.token, Connection: uint64(l.id), Session: uint64(l.session), Pool: c.opts.Pool, DataCentre: c.opts.DataCentre,
+		Endpoint: c.opts.Endpoint, Incarnation: c.opts.Incarnation, Tenure: c.tenure, Connection: uint64(l.id), Session: uint64(l.session), Pool: c.opts.Pool, DataCentre: c.opts.DataCentre,
 		Slots: uint32(c.opts.Slots), Capacity: c.opts.Capacity, Divided: c.opts.Divided, Leaving: c.leaving(),
 		Paced: c.tuning.IdleHeartbeat > 0,
 	}
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -53,8 +53,8 @@
 // not, no credits are offered. Core starts with the endpoint down.
 type EndpointChanged struct {
 	Up bool
-	// Token is the agent's fencing token at the endpoint, zero if it has none.
-	Token uint64
+	// Tenure is the agent's at the endpoint.
+	Tenure structs.Tenure
 }
 
 // CapacityChanged reports the endpoint's present capacity, which may shrink and grow
--- a/internal/agent/one_run_at_a_time_test.go
+++ b/internal/agent/one_run_at_a_time_test.go
@@ -190,7 +190,7 @@
 	sim.listEntries(nil)
 	for i := range 2 {
 		a := sim.newAgent(fmt.Sprintf("w%d", i))
-		a.core.Step(sim.now, &agent.EndpointChanged{Up: true, Token: a.token})
+		a.core.Step(sim.now, &agent.EndpointChanged{Up: true, Tenure: structs.Tenure{Token: a.token}})
 		sim.agents = append(sim.agents, a)
 	}
 	sim.advance(500 * time.Millisecond)
@@ -660,7 +660,7 @@
 	}
 	a.takeoverAt = time.Time{}
 	a.sim.record("%s: its successor has taken over", a.name)
-	a.step(&agent.EndpointChanged{Up: true, Token: a.token})
+	a.step(&agent.EndpointChanged{Up: true, Tenure: structs.Tenure{Token: a.token}})
 }
 
 func (sim *overlapSimulation) request(name string, e *overlapEntry) {
--- a/internal/agentd/leased_runner.go
+++ b/internal/agentd/leased_runner.go
@@ -187,5 +187,5 @@
 		id = event.EndpointUp
 	}
 	r.log.Event(id)
-	r.core.Send(coreInput{message: &agent.EndpointChanged{Up: e.Up, Token: e.Token}})
+	r.core.Send(coreInput{message: &agent.EndpointChanged{Up: e.Up, Tenure: e.Tenure}})
 }
--- a/internal/dispatch/attached_test.go
+++ b/internal/dispatch/attached_test.go
@@ -485,10 +485,10 @@
 	h.Equal(h.core.sessions["w1"].granted[granted[0].ID].state, taskStates.Stopping)
 }
 
-// helloWithToken sends a hello of an agent of the first worker, and offers its slots.
-func (h *harness) helloWithToken(link LinkID, incarnation structs.Incarnation, token uint64) {
+// helloWithTenure sends a hello of an agent of the first worker, and offers its slots.
+func (h *harness) helloWithTenure(link LinkID, incarnation structs.Incarnation, t structs.Tenure) {
 	h.step(&AgentMessage{Link: link, Message: &structs.FromAgent{Hello: &structs.Hello{
-		Endpoint: "w1", Incarnation: incarnation, Token: token, Connection: uint64(link), Session: 1,
+		Endpoint: "w1", Incarnation: incarnation, Tenure: t, Connection: uint64(link), Session: 1,
 		Pool: "p", Slots: 40, Capacity: structs.Needs{Millicores: 4000, MemoryMB: 1000}, Divided: true,
 	}}})
 	h.step(&AgentMessage{Link: link, Message: &structs.FromAgent{Offered: structs.Credits{Any: 40}}})
@@ -498,33 +498,44 @@
 // has taken the worker over.
 func TestLateHelloOfAnAgentNeverHeardOfDoesNotEndTheLivingOnesGrants(t *testing.T) {
 	h := newTimedHarness(t)
-	h.helloWithToken(1, 2, 1_700_000_000_500)
+	h.helloWithTenure(1, 2, structs.Tenure{Born: 1_700_000_000_000, Token: 1_700_000_000_500})
 	h.connectDividedWorker(2, 2, 40) // another worker for what is repeated
 	h.runJob("a", 6, 1000)
 	granted := len(h.core.sessions["w1"].granted)
 	h.True(granted > 0)
-	h.helloWithToken(3, 1, 1_700_000_000_000)
+	h.helloWithTenure(3, 1, structs.Tenure{Born: 1_700_000_000_000, Token: 1_700_000_000_000})
 	s := h.core.sessions["w1"]
 	h.Equal(s.incarnation, structs.Incarnation(2))
 	h.Equal(len(s.granted), granted)
 	h.Equal(lastEffect[*CloseLink](h).Link, LinkID(3))
 
-	h.helloWithToken(4, 3, 1_700_000_001_000)
+	h.helloWithTenure(4, 3, structs.Tenure{Born: 1_700_000_000_000, Token: 1_700_000_001_000})
 	h.Equal(h.core.sessions["w1"].incarnation, structs.Incarnation(3))
 }
 
-// A token is lower than its predecessor's if the worker's time of day went back between two
+// The clocks of two workers have nothing in common, so neither have the tokens that are derived
+// from them.
+func TestAgentOfALaterWorkerIsAcceptedWhateverItsToken(t *testing.T) {
+	h := newTimedHarness(t)
+	h.helloWithTenure(1, 1, structs.Tenure{Born: 1_700_000_000_000, Token: 1_700_000_900_000})
+	h.helloWithTenure(2, 2, structs.Tenure{Born: 1_700_000_010_000, Token: 1_700_000_020_000})
+	h.Equal(h.core.sessions["w1"].incarnation, structs.Incarnation(2))
+	h.helloWithTenure(3, 3, structs.Tenure{Born: 1_700_000_000_000, Token: 1_700_000_950_000}) // held up
+	h.Equal(h.core.sessions["w1"].incarnation, structs.Incarnation(2))
+}
+
+// A tenure is earlier than its predecessor's if the worker's time of day went back between two
 // lives.
-func TestAgentWithALowerTokenIsAcceptedOnceTheEarlierOneIsGivenUp(t *testing.T) {
+func TestAgentWithAnEarlierTenureIsAcceptedOnceTheOtherIsGivenUp(t *testing.T) {
 	h := newTimedHarness(t)
-	h.helloWithToken(1, 1, 1_700_000_002_000)
-	h.helloWithToken(2, 2, 1_700_000_000_000)
+	h.helloWithTenure(1, 1, structs.Tenure{Born: 1_700_000_000_000, Token: 1_700_000_002_000})
+	h.helloWithTenure(2, 2, structs.Tenure{Born: 1_700_000_000_000, Token: 1_700_000_000_000})
 	h.Equal(h.core.sessions["w1"].incarnation, structs.Incarnation(1))
 	h.step(&LinkClosed{Link: 1})
-	h.helloWithToken(3, 2, 1_700_000_000_000)
+	h.helloWithTenure(3, 2, structs.Tenure{Born: 1_700_000_000_000, Token: 1_700_000_000_000})
 	h.Equal(h.core.sessions["w1"].incarnation, structs.Incarnation(1)) // its runs may go on
 	h.advance(600 * time.Millisecond)
-	h.helloWithToken(4, 2, 1_700_000_000_000)
+	h.helloWithTenure(4, 2, structs.Tenure{Born: 1_700_000_000_000, Token: 1_700_000_000_000})
 	h.Equal(h.core.sessions["w1"].incarnation, structs.Incarnation(2))
 }
 
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -14,8 +14,7 @@
 type session struct {
 	endpoint    string
 	incarnation structs.Incarnation
-	// token is Hello.Token, which orders the agents of one endpoint.
-	token uint64
+	tenure      structs.Tenure
 	// sessionNumber is Hello.Session, connection the highest Hello.Connection
 	// handled so far.
 	sessionNumber uint64
@@ -183,13 +182,13 @@
 // that sent the hello, which was delayed. That the agent's runs have ended follows only from
 // the hello of a successor.
 func (s *session) succeeds(hello *structs.Hello) bool {
-	return s.incarnation != hello.Incarnation && hello.Token != 0 && hello.Token < s.token
+	return s.incarnation != hello.Incarnation && hello.Tenure.Precedes(s.tenure)
 }
 
 func (c *Core) newSession(hello *structs.Hello) *session {
 	p := c.pool(hello.Pool)
 	s := &session{
-		endpoint: hello.Endpoint, incarnation: hello.Incarnation, token: hello.Token, sessionNumber: hello.Session, dataCentre: hello.DataCentre,
+		endpoint: hello.Endpoint, incarnation: hello.Incarnation, tenure: hello.Tenure, sessionNumber: hello.Session, dataCentre: hello.DataCentre,
 		capacity: hello.Capacity, slots: hello.Slots, divided: hello.Divided, pool: p,
 		state: sessionChart.Initial(), health: healthChart.Initial(),
 		granted: map[structs.GrantID]*task{},
--- a/internal/leased/charts.go
+++ b/internal/leased/charts.go
@@ -62,8 +62,8 @@
 			"reconcile":          (*Core).reconcile,
 			"lose_runs":          (*Core).loseRuns,
 			"forget_runs":        (*Core).forgetRuns,
-			"report_up":          func(c *Core) { c.emit(&AvailabilityChanged{Up: true, Token: c.token}) },
-			"report_down":        func(c *Core) { c.emit(&AvailabilityChanged{Up: false, Token: c.token}) },
+			"report_up":          func(c *Core) { c.emit(&AvailabilityChanged{Up: true, Tenure: c.tenure()}) },
+			"report_down":        func(c *Core) { c.emit(&AvailabilityChanged{Up: false, Tenure: c.tenure()}) },
 			"report_worker_lost": func(c *Core) { c.emit(&WorkerLost{Cause: c.endCause, Token: c.token}) },
 		},
 	})
--- a/internal/leased/core.go
+++ b/internal/leased/core.go
@@ -389,6 +389,8 @@
 	c.runs, c.runsByTask = map[structs.GrantID]*workerRun{}, map[string]*workerRun{}
 }
 
+func (c *Core) tenure() structs.Tenure { return structs.Tenure{Born: c.born, Token: c.token} }
+
 // deriveToken derives the fencing token from the time of the worker's start and its
 // clock. The token is higher than that of any previous agent, which read the same
 // clock earlier, and than the tokens of earlier incarnations: a call of one of these
--- a/internal/leased/messages.go
+++ b/internal/leased/messages.go
@@ -241,8 +241,8 @@
 // AvailabilityChanged reports whether the worker can be given runs.
 type AvailabilityChanged struct {
 	Up bool
-	// Token is this agent's fencing token.
-	Token uint64
+	// Tenure is this agent's at the worker.
+	Tenure structs.Tenure
 }
 
 // WorkerLost reports that the worker was replaced or that another agent has taken it
--- a/internal/structs/link.go
+++ b/internal/structs/link.go
@@ -58,9 +58,8 @@
 	// Endpoint is the name of the endpoint that the agent serves.
 	Endpoint    string
 	Incarnation Incarnation
-	// Token is the agent's fencing token at the endpoint, which is higher than that of
-	// every agent before it. Zero means that the endpoint knows no tokens.
-	Token uint64
+	// Tenure orders the agent among those of the endpoint.
+	Tenure Tenure
 	// Connection increases with each connection attempt of the agent. The entry
 	// uses it to recognise a hello that arrives after a more recent one.
 	Connection uint64
@@ -87,6 +86,25 @@
 	Leaving bool
 }
 
+// Tenure orders the agents of one endpoint. It is zero if the endpoint knows no fencing
+// tokens.
+type Tenure struct {
+	// Born is the time of the worker's start in Unix milliseconds. The worker that takes
+	// the place of another one has a later start.
+	Born int64
+	// Token is the agent's fencing token at the worker, which is higher than that of every
+	// agent before it there. It says nothing of those at another worker.
+	Token uint64
+}
+
+// Precedes reports whether an agent with this tenure was succeeded by one with the other.
+func (t Tenure) Precedes(other Tenure) bool {
+	if t.Token == 0 || other.Token == 0 {
+		return false
+	}
+	return t.Born < other.Born || (t.Born == other.Born && t.Token < other.Token)
+}
+
 // Credits is the number of an agent's slots that an entry may fill by sending
 // grants, by the class of tasks that they allow.
 type Credits struct {
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -225,7 +225,7 @@
 	return &wirepb.Hello{
 		Endpoint: h.Endpoint, Incarnation: uint64(h.Incarnation), Pool: h.Pool, DataCentre: h.DataCentre,
 		Slots: h.Slots, Held: grantIDsToPB(h.Held), Leaving: h.Leaving,
-		Connection: h.Connection, Session: h.Session, Divided: h.Divided, Paced: h.Paced, Token: h.Token,
+		Connection: h.Connection, Session: h.Session, Divided: h.Divided, Paced: h.Paced, Born: h.Tenure.Born, Token: h.Tenure.Token,
 		Capacity: &wirepb.Needs{
 			Cores: h.Capacity.Cores, Millicores: h.Capacity.Millicores,
 			MemoryMb: h.Capacity.MemoryMB, Accelerators: h.Capacity.Accelerators,
@@ -238,7 +238,7 @@
 	return &structs.Hello{
 		Endpoint: pb.Endpoint, Incarnation: structs.Incarnation(pb.Incarnation), Pool: pb.Pool, DataCentre: pb.DataCentre,
 		Slots: pb.Slots, Held: grantIDsFromPB(pb.Held), Leaving: pb.Leaving,
-		Connection: pb.Connection, Session: pb.Session, Divided: pb.Divided, Paced: pb.Paced, Token: pb.Token,
+		Connection: pb.Connection, Session: pb.Session, Divided: pb.Divided, Paced: pb.Paced, Tenure: structs.Tenure{Born: pb.Born, Token: pb.Token},
 		Capacity: structs.Needs{
 			Cores: capacity.GetCores(), Millicores: capacity.GetMillicores(),
 			MemoryMB: capacity.GetMemoryMb(), Accelerators: capacity.GetAccelerators(),
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -15,7 +15,7 @@
 func TestFromAgentRoundTrip(t *testing.T) {
 	is := is.New(t)
 	want := &structs.FromAgent{
-		Hello: &structs.Hello{Endpoint: "w1", Incarnation: 5, Token: 15, Pool: "p", DataCentre: "Matane", Slots: 8,
+		Hello: &structs.Hello{Endpoint: "w1", Incarnation: 5, Tenure: structs.Tenure{Born: 15, Token: 16}, Pool: "p", DataCentre: "Matane", Slots: 8,
 			Capacity: structs.Needs{Cores: 16, MemoryMB: 32, Accelerators: 1}, Held: []structs.GrantID{grantID}, Leaving: true, Connection: 12, Session: 13, Paced: true},
 		Results:  []structs.Result{{Grant: grantID, Outcome: structs.Errored, Payload: []byte("x"), RunTime: time.Millisecond}},
 		Refusals: []structs.Refusal{{Grant: grantID, Reason: structs.BufferFull}},
