Fencing tokens rise over the lives of a worker's id, wherever its clock begins

The next life of a worker could not be fenced off, nor used, if its clock began lower than that of the life before: its agents' tokens were below those that the first polls had left there, and late starts of the earlier life were not.

Cause: a token is the worker's start and its clock, added, and was taken to rise over its lives. That holds for clocks that begin at zero.

Change: an agent takes a token above those that agents of its process have used at a worker of the same id. Tokens at workers of other ids are left alone, as their calls name the id.

Evidence: TestNextLifeIsFencedOffThoughItsClockBeginsLower and TestTokensRiseOverTheLivesOfAWorkerId failed before; the second one with the first part of the change alone. A restart of the agent's process between two lives still loses the token: listed.

--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -43,6 +43,9 @@
 	Lease leased.Timing
 	// Born identifies the expected incarnation of the worker.
 	Born int64
+	// TokenFloor is the fencing token of an earlier agent at a worker of the same id, zero
+	// if none is known.
+	TokenFloor uint64
 	// Timing holds the time constants of the links to entries.
 	Timing Timing
 	// FindEntries returns the currently registered entries; it may be nil.
@@ -118,6 +121,9 @@
 	// ended is closed when the agent has ended; drained may be read after that.
 	ended   chan struct{}
 	drained bool
+	// runner is that of a leased worker, nil without one. Its state may be read once ended
+	// is closed.
+	runner *leasedRunner
 }
 
 func start(ctx context.Context, c Config, incarnation structs.Incarnation, clock structs.Clock, d decisions) (*Daemon, error) {
@@ -151,8 +157,8 @@
 		incarnation: incarnation, cancel: cancel, ended: make(chan struct{}),
 	}
 	if c.Worker != nil {
-		runner := newLeasedRunner(runnerInbox, coreInbox, c, counters, log, cancel)
-		daemon.actors.Go(func() { runner.run(ctx) })
+		daemon.runner = newLeasedRunner(runnerInbox, coreInbox, c, counters, log, cancel)
+		daemon.actors.Go(func() { daemon.runner.run(ctx) })
 	} else {
 		runner := newRunner(runnerInbox, coreInbox, probeInbox, c, counters)
 		probe := newProbe(probeInbox, coreInbox, c.EndpointAddress, log)
@@ -191,6 +197,16 @@
 	return nil
 }
 
+// Token waits for the end of the agent and returns its fencing token at the worker, zero if
+// it had none.
+func (d *Daemon) Token() uint64 {
+	if d.runner == nil {
+		return 0
+	}
+	<-d.ended
+	return d.runner.decisions.Token()
+}
+
 // HTTPAddress returns the address of the operators' interface, with the port that
 // is bound.
 func (d *Daemon) HTTPAddress() string { return d.http.address() }
--- a/internal/agentd/leased_runner.go
+++ b/internal/agentd/leased_runner.go
@@ -51,8 +51,10 @@
 }
 
 func newLeasedRunner(inbox *actor.Inbox[runnerInput], core *actor.Inbox[coreInput], c Config, counters *counters, log *logging.Logger, workerLost func()) *leasedRunner {
+	decisions := leased.New(c.Lease, c.Born)
+	decisions.SetTokenFloor(c.TokenFloor)
 	return &leasedRunner{
-		inbox: inbox, core: core, worker: c.Worker, decisions: leased.New(c.Lease, c.Born),
+		inbox: inbox, core: core, worker: c.Worker, decisions: decisions,
 		counters: counters, log: log, workerLost: workerLost,
 	}
 }
--- a/internal/agentd/supervisor_test.go
+++ b/internal/agentd/supervisor_test.go
@@ -83,6 +83,45 @@
 	<-s.inbox.Done()
 }
 
+// tokenWorker is an idle worker that reports the tokens of its polls. Its clock stands still.
+type tokenWorker struct {
+	idleWorker
+	clock  time.Duration
+	tokens chan uint64
+}
+
+func (w tokenWorker) Poll(m *leased.SendPoll) (leased.CallResult, leased.Report) {
+	result, report := w.idleWorker.Poll(m)
+	report.Clock = w.clock
+	if m.Token != 0 {
+		select {
+		case w.tokens <- m.Token:
+		default:
+		}
+	}
+	return result, report
+}
+
+// The clock of the worker's next life begins lower than that of the one before.
+func TestTokensRiseOverTheLivesOfAWorkerId(t *testing.T) {
+	is := is.New(t)
+	tokens := map[int64]chan uint64{10: make(chan uint64, 1), 20: make(chan uint64, 1)}
+	clocks := map[int64]time.Duration{10: time.Hour, 20: time.Second}
+	s := NewSupervisor(func(a Announcement) Config {
+		return Config{
+			Agent:  settings.Agent{Endpoint: "w", Pool: a.Pool, Slots: 16, HTTPAddress: "127.0.0.1:0", UnackedLimit: 10},
+			Worker: tokenWorker{idleWorker{born: a.Born}, clocks[a.Born], tokens[a.Born]}, Born: a.Born,
+		}
+	}, func(Announcement) {}, logging.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	go s.Run(ctx)
+	t.Cleanup(func() { cancel(); <-s.inbox.Done() })
+	s.Announce(newAnnouncement(10, 1))
+	first := <-tokens[10]
+	s.Announce(newAnnouncement(20, 1))
+	is.True(<-tokens[20] > first)
+}
+
 func TestStoredAnnouncementIsUsedUntilANewIncarnation(t *testing.T) {
 	s, configsBuilt, _ := startSupervisor(t)
 	s.Announce(newAnnouncement(20, 0)) // loaded from the store
--- a/internal/leased/core.go
+++ b/internal/leased/core.go
@@ -86,8 +86,9 @@
 	now    time.Time
 	state  chart.State
 
-	// token is the fencing token; zero until it is derived.
-	token uint64
+	// token is the fencing token; zero until it is derived. It is higher than tokenFloor.
+	token      uint64
+	tokenFloor uint64
 	// lastSeen is the highest serial of an end that was processed.
 	lastSeen uint64
 	// born is the time of the worker's start in Unix milliseconds, which identifies
@@ -150,6 +151,13 @@
 	}
 }
 
+// SetTokenFloor sets a token that an earlier agent has used at a worker of this id. It must
+// be called before the first Tick.
+func (c *Core) SetTokenFloor(floor uint64) { c.tokenFloor = floor }
+
+// Token returns the fencing token, zero if there is none yet.
+func (c *Core) Token() uint64 { return c.token }
+
 // Step handles one message at the given time.
 func (c *Core) Step(now time.Time, m Message) {
 	c.now = now
@@ -377,6 +385,7 @@
 	c.endCause = Replaced
 	c.born = born
 	c.rebornAt = c.now
+	c.tokenFloor = max(c.tokenFloor, c.token)
 	c.lastSeen = 0
 	c.nextPollAt = time.Time{}
 	c.pollNow = true
@@ -394,5 +403,8 @@
 // deriveToken derives the fencing token from the time of the worker's start and its
 // clock. The token is higher than that of any previous agent, which read the same
 // clock earlier, and than the tokens of earlier incarnations: a call of one of these
-// that is executed late must neither start a task nor fence this agent off.
-func (c *Core) deriveToken() { c.token = uint64(max(1, c.born+c.workerClock.Milliseconds())) }
+// that is executed late must neither start a task nor fence this agent off. Where the clock
+// of the worker's next life begins lower, the floor takes its place.
+func (c *Core) deriveToken() {
+	c.token = max(uint64(max(1, c.born+c.workerClock.Milliseconds())), c.tokenFloor+1)
+}
--- a/internal/leased/core_test.go
+++ b/internal/leased/core_test.go
@@ -338,6 +338,27 @@
 	h.Equal(lastEffect[*WorkerLost](h).Cause, Replaced)
 }
 
+// Where the clock of a worker begins nobody says.
+func TestNextLifeIsFencedOffThoughItsClockBeginsLower(t *testing.T) {
+	h := newHarness(t)
+	h.tick(0)
+	h.answerPoll(Done, Report{Born: 1_000_000})
+	h.answerPoll(Done, Report{Born: 1_000_000})
+	used := lastEffect[*SendPoll](h).Token
+	h.tick(time.Second)
+	h.workerClock = 0
+	h.answerPoll(Done, Report{Born: 1_001_000})
+	fence := lastEffect[*SendPoll](h).Token
+	h.True(fence > used)
+
+	next := newHarness(t)
+	next.core.SetTokenFloor(h.core.Token())
+	next.workerClock = 10 * time.Millisecond
+	next.tick(0)
+	next.answerPoll(Done, Report{Born: 1_001_000})
+	h.True(lastEffect[*SendPoll](next).Token > fence)
+}
+
 func TestNextIncarnationIsLookedForSoonerWhileAStartMayBeLate(t *testing.T) {
 	polls := func(result CallResult) int {
 		h := newHeldHarness(t)
