An agent that cannot fence a worker's next life off ends after the longest lease

Callers would have waited until their deadlines: an agent that has found the next life of its worker and then gets no answer kept its links, so that entries went on waiting for its runs.

Cause: state fencing had no way out but an answer or the worker's next heartbeat. Change: it ends once the longest lease is over that a late start may have there. Evidence: TestAgentEndsIfTheNextLifeCannotBeFencedOff.

--- a/internal/leased/core.go
+++ b/internal/leased/core.go
@@ -217,10 +217,11 @@
 
 func (c *Core) fireLease(e chart.Event) { leaseChart.Fire(&c.state, e, c) }
 
-// leaseExpired reports whether the lease has expired on a worker with runs, or on one
-// that another agent has taken over.
+// leaseExpired reports whether the lease has expired on a worker with runs, on one that
+// another agent has taken over, or on one whose new incarnation is fenced.
 func (c *Core) leaseExpired() bool {
-	return !c.leaseExpiresAt.IsZero() && c.now.After(c.leaseExpiresAt) && (len(c.runs) > 0 || c.state == leaseStates.Overtaken)
+	matters := len(c.runs) > 0 || c.state == leaseStates.Overtaken || c.state == leaseStates.Fencing
+	return !c.leaseExpiresAt.IsZero() && c.now.After(c.leaseExpiresAt) && matters
 }
 
 // pollIfDue sends the next poll if one is due. While runs are active, an unanswered
@@ -251,7 +252,12 @@
 // shortens, so one that was given before may outlast those that follow.
 func (c *Core) beginLease() {
 	c.foreignRuns = map[RunID]time.Time{}
-	c.leaseExpiresAt = c.now.Add(c.timing.MaxLease + c.maxDrift(c.timing.MaxLease) + expiryMargin)
+	c.leaseExpiresAt = c.longestForeignLease()
+}
+
+// longestForeignLease returns when the lease has expired of whatever runs on the worker now.
+func (c *Core) longestForeignLease() time.Time {
+	return c.now.Add(c.timing.MaxLease + c.maxDrift(c.timing.MaxLease) + expiryMargin)
 }
 
 // maxDrift returns how much longer the given time on the worker's clock may take on
@@ -389,6 +395,7 @@
 	c.lastSeen = 0
 	c.nextPollAt = time.Time{}
 	c.pollNow = true
+	c.leaseExpiresAt = c.longestForeignLease()
 	c.fireLease(leaseEvents.Reborn)
 }
 
--- a/internal/leased/core_test.go
+++ b/internal/leased/core_test.go
@@ -338,6 +338,22 @@
 	h.Equal(lastEffect[*WorkerLost](h).Cause, Replaced)
 }
 
+// Entries wait for the runs of the agent until it ends.
+func TestAgentEndsIfTheNextLifeCannotBeFencedOff(t *testing.T) {
+	h := newHeldHarness(t)
+	h.answerPoll(Done, Report{Born: 5})
+	h.step(&StartAnswered{Run: h.requestStart(1), Result: Done})
+	h.answerPoll(Done, Report{Born: 6})
+	for end := h.now.Add(defaultMaxLease + 200*time.Millisecond); h.now.Before(end); {
+		h.tick(10 * time.Millisecond)
+		for h.core.pollsInFlight > 0 {
+			h.answerPoll(Unanswered, Report{})
+		}
+	}
+	h.Equal(lastEffect[*WorkerLost](h).Cause, Replaced)
+	h.Equal(countEffects[*Exited](h), 0)
+}
+
 // Where the clock of a worker begins nobody says.
 func TestNextLifeIsFencedOffThoughItsClockBeginsLower(t *testing.T) {
 	h := newHarness(t)
--- a/internal/leased/simulation_test.go
+++ b/internal/leased/simulation_test.go
@@ -365,6 +365,9 @@
 	if e.Cause != Replaced || s.shownBorn != s.born {
 		return // the worker has started anew since
 	}
+	if s.now.Sub(s.core.rebornAt) > defaultMaxLease {
+		return // no poll got through while a late start could have been stopped
+	}
 	for born, token := range s.startTokens {
 		if born != s.born && token >= s.token {
 			s.t.Fatalf("a start of incarnation %d with token %d would be executed by incarnation %d, which knows token %d", born, token, s.born, s.token)
