An agent has a tenure only once it has taken over

The end of the endpoint's availability carried the start of a worker's new life beside the token of the life before. Nothing came of it: the next agent's token is higher. The supervisor keeps the token floor with the id of its worker.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -307,9 +307,10 @@
 
 func (c *Core) handleEndpointChanged(m *EndpointChanged) {
 	c.endpointUp = m.Up
-	c.tenure = m.Tenure
 	c.predecessorEnded = c.predecessorEnded || m.Up
-	if !m.Up {
+	if m.Up {
+		c.tenure = m.Tenure
+	} else {
 		c.refuseQueued()
 		c.revokeAllCredits()
 	}
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -53,7 +53,7 @@
 // not, no credits are offered. Core starts with the endpoint down.
 type EndpointChanged struct {
 	Up bool
-	// Tenure is the agent's at the endpoint.
+	// Tenure is the agent's at the endpoint, set with Up.
 	Tenure structs.Tenure
 }
 
--- a/internal/agentd/supervisor.go
+++ b/internal/agentd/supervisor.go
@@ -61,12 +61,10 @@
 	agent  *Daemon
 	// cancelAgent cancels the context of agent.
 	cancelAgent context.CancelFunc
-	// tokenFloor is the highest fencing token of the agents that have ended, at the worker
-	// with the id tokenWorker.
-	tokenFloor  uint64
-	tokenWorker string
-	// agentWorker is the id of the agent's worker.
-	agentWorker string
+	// worker is the id of the worker of the latest agent, and tokenFloor the highest fencing
+	// token of the agents there that have ended.
+	worker     string
+	tokenFloor uint64
 }
 
 var supervisorChart = chart.MustCompile(charts.Files, "supervisor", chart.Bindings[*Supervisor]{
@@ -180,20 +178,11 @@
 func (s *Supervisor) agentEnded(d *Daemon) {
 	if d == s.agent {
 		s.cancelAgent()
-		s.recordToken(d.Token())
+		s.tokenFloor = max(s.tokenFloor, d.Token())
 		s.fire(supervisorEvents.AgentEnded)
 	}
 }
 
-// recordToken records the fencing token of the agent that has ended. Those at workers of
-// other ids are of no use: they come from another clock.
-func (s *Supervisor) recordToken(token uint64) {
-	if s.tokenWorker != s.agentWorker {
-		s.tokenWorker, s.tokenFloor = s.agentWorker, 0
-	}
-	s.tokenFloor = max(s.tokenFloor, token)
-}
-
 // stopAgent begins the agent's planned stop. An agent that could not be started
 // has nothing to stop, and the message about its end is already being sent.
 func (s *Supervisor) stopAgent() {
@@ -206,11 +195,12 @@
 func (s *Supervisor) startAgent() {
 	ctx, cancel := context.WithCancel(s.ctx)
 	s.cancelAgent = cancel
-	s.agentWorker = s.latest.Worker
-	config := s.newConfig(s.latest)
-	if s.tokenWorker == s.agentWorker {
-		config.TokenFloor = s.tokenFloor
+	if s.worker != s.latest.Worker {
+		// Tokens at a worker of another id come from another clock.
+		s.worker, s.tokenFloor = s.latest.Worker, 0
 	}
+	config := s.newConfig(s.latest)
+	config.TokenFloor = s.tokenFloor
 	agent, err := Start(ctx, config)
 	if err != nil {
 		s.log.Event(event.AgentNotStarted, zap.String("error", err.Error()))
--- a/internal/leased/charts.go
+++ b/internal/leased/charts.go
@@ -63,7 +63,7 @@
 			"lose_runs":          (*Core).loseRuns,
 			"forget_runs":        (*Core).forgetRuns,
 			"report_up":          func(c *Core) { c.emit(&AvailabilityChanged{Up: true, Tenure: c.tenure()}) },
-			"report_down":        func(c *Core) { c.emit(&AvailabilityChanged{Up: false, Tenure: c.tenure()}) },
+			"report_down":        func(c *Core) { c.emit(&AvailabilityChanged{Up: false}) },
 			"report_worker_lost": func(c *Core) { c.emit(&WorkerLost{Cause: c.endCause, Token: c.token}) },
 		},
 	})
--- a/internal/leased/messages.go
+++ b/internal/leased/messages.go
@@ -241,7 +241,7 @@
 // AvailabilityChanged reports whether the worker can be given runs.
 type AvailabilityChanged struct {
 	Up bool
-	// Tenure is this agent's at the worker.
+	// Tenure is this agent's at the worker, set with Up.
 	Tenure structs.Tenure
 }
 
