Review case 6: an entry that has used up its descriptors never listens again

Cause: when an accept fails for want of a descriptor, the network library ends its engine. The ingress logs that and goes on, and the process lives on without a listener for clients or for the balancer's checks. Nothing bounds the number of connections by maxFds.

Added the case with its script, and stand-ins of the store, the worker, the balancer and the clients that use the standard library only.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the cases from 6 on. They use the standard library only.
+set -e
+cd "$(dirname "$0")/site2"
+go build -o ../../target/review-site2 .
