--- a/review/site2/main.go
+++ b/review/site2/main.go
@@ -12,7 +12,8 @@
 
 // cases maps the name of a case to its function, which reports whether the rule held.
 var cases = map[string]func(s *site, trouble bool) (bool, error){
-	"deaf": deaf,
+	"foreign": foreign,
+	"deaf":    deaf,
 }
 
 // maxFds is that of the settings.
