--- a/review/site2/ledger.go
+++ b/review/site2/ledger.go
@@ -52,19 +52,6 @@
 	}
 }
 
-// startedRuns returns the number of runs of tasks whose names begin with the job's id.
-func (l *ledger) startedRuns(job string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n := 0
-	for _, r := range l.runs {
-		if len(r.task) > len(job) && r.task[:len(job)] == job {
-			n++
-		}
-	}
-	return n
-}
-
 func (l *ledger) overlapCount() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/review/site2/main.go
+++ b/review/site2/main.go
@@ -12,12 +12,13 @@
 
 // cases maps the name of a case to its function, which reports whether the rule held.
 var cases = map[string]func(s *site, trouble bool) (bool, error){
-	"foreign": foreign,
-	"deaf":    deaf,
+	"reborn": reborn,
+	"deaf":   deaf,
 }
 
-// maxFds is that of the settings.
-const maxFds = 4100
+// maxFds is that of the settings, of which 200 are reserved for files. The programs have
+// no more than ten of those open.
+const maxFds = 4100 - 200 + 10
 
 // runLimited replaces this process by a program that may have maxFds descriptors.
 func runLimited(args []string) error {
--- a/review/site2/worker.go
+++ b/review/site2/worker.go
@@ -34,7 +34,6 @@
 	cpu      int
 	endsAt   time.Time
 	stopsAt  time.Time
-	fails    bool
 	recorded *taskRun
 }
 
@@ -47,8 +46,6 @@
 	late func(path string, o *order) (time.Duration, bool)
 	// hang leaves every call unanswered and undone while it is set.
 	hang bool
-	// quiet keeps the runs out of the ledger.
-	quiet bool
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -60,12 +57,14 @@
 	sequence uint64
 	token    uint64
 	lease    time.Duration
-	runs     map[string]*workerRun
-	last     map[string]uint64
-	ends     [][]any
-	serial   uint64
-	cpu      int
-	drainAck time.Time
+	// postponed counts the starts that were left unanswered.
+	postponed int
+	runs      map[string]*workerRun
+	last      map[string]uint64
+	ends      [][]any
+	serial    uint64
+	cpu       int
+	drainAck  time.Time
 }
 
 // newWorker starts a worker beside which an agent runs at the same address.
@@ -141,6 +140,11 @@
 	instance := r.Header.Get("Cactuspost-Expect-Instance")
 	if late != nil {
 		if after, yes := late(r.URL.Path, &o); yes {
+			if r.URL.Path == "/-/run-start" {
+				w.mu.Lock()
+				w.postponed++
+				w.mu.Unlock()
+			}
 			w.site.rec.add("%s leaves %s %s run %d unanswered, to carry it out in %v", w.name, r.URL.Path, o.Task, o.Run, after)
 			time.AfterFunc(after, func() { w.carryOut(instance, r.URL.Path, &o) })
 			silent(rw)
