Agent: 2059 and 2060 name what a fencing token was derived from and where it was rejected

Rejected agents were logged with their token alone (2042), which tells neither the worker's life nor the tokens before it.

--- a/internal/agentd/leased_runner.go
+++ b/internal/agentd/leased_runner.go
@@ -116,6 +116,11 @@
 	case *leased.WorkerLost:
 		r.log.Event(event.WorkerReplaced, zap.Stringer("cause", e.Cause), zap.Uint64("token", e.Token))
 		r.workerLost()
+	case *leased.TokenDerived:
+		r.log.Event(event.TokenDerived, zap.Uint64("token", e.Token), zap.Uint64("floor", e.Floor),
+			zap.Int64("born", e.Born), zap.Duration("clock_ms", e.Clock))
+	case *leased.TokenRejected:
+		r.log.Event(event.TokenRejected, zap.Uint64("token", e.Token), zap.String("state", e.State))
 	case *leased.RunsLost:
 		r.log.Event(event.RunsLost, zap.Int("runs", e.Runs), zap.Duration("lease_left_ms", e.LeaseLeft))
 	case *leased.ForeignRunListed:
--- a/internal/agentd/leased_runner_test.go
+++ b/internal/agentd/leased_runner_test.go
@@ -65,6 +65,14 @@
 			&leased.StoppedRunListed{Grant: grant, Run: run, State: "expired", Attempts: 2, LeaseLeft: 640 * time.Millisecond},
 			`"event":2056,` + object + `"state":"expired","attempts":2,"executed":false,"lease_left_ms":640}`,
 		},
+		"token derived": {
+			&leased.TokenDerived{Token: 7, Floor: 6, Born: 5, Clock: 2 * time.Millisecond},
+			`"event":2059,"token":7,"floor":6,"born":5,"clock_ms":2}`,
+		},
+		"token rejected while held": {
+			&leased.TokenRejected{Token: 7, State: "held"},
+			`"event":2060,"token":7,"state":"held"}`,
+		},
 		"token rejected": {
 			&leased.WorkerLost{Cause: leased.Fenced, Token: 7},
 			`"event":2042,"cause":"fenced","token":7}`,
--- a/internal/event/agent.go
+++ b/internal/event/agent.go
@@ -38,6 +38,8 @@
 	StoppedRunListed         ID = 2056
 	CapacityChanged          ID = 2057
 	RunsGivenUp              ID = 2058
+	TokenDerived             ID = 2059
+	TokenRejected            ID = 2060
 )
 
 var agentEvents = []Description{
@@ -77,4 +79,6 @@
 	{StoppedRunListed, Warning, "stopped run listed", "The worker lists a run as running although it should have stopped: it executed a stop, or left all unanswered until the start had expired. The lease is not extended while this lasts.", "Check the worker if this repeats."},
 	{CapacityChanged, Info, "capacity changed", "The worker reports another capacity; the agent offers fewer or more slots from now on.", "None."},
 	{RunsGivenUp, Warning, "runs given up", "An entry is taken to be gone: its runs at the endpoint are stopped, and its queued grants and kept results are dropped. The reason is grace_over, entry_replaced or entry_unlisted.", "None, if the entry has ended; otherwise look for a second run of the tasks."},
+	{TokenDerived, Info, "token derived", "The agent has a fencing token for the worker; the fields give the worker's start and clock, and the highest token that its process knows of earlier agents (floor).", "None."},
+	{TokenRejected, Warning, "token rejected", "The worker knows a higher fencing token than the agent's; the state is that of chart workerlease.", "None after a restart of the worker or the agent; otherwise look for a second agent of the worker."},
 }
--- a/internal/leased/core.go
+++ b/internal/leased/core.go
@@ -367,6 +367,9 @@
 // handleTokenRejected handles an answer that rejects the fencing token.
 func (c *Core) handleTokenRejected() {
 	c.endCause = Fenced
+	if c.token > 0 {
+		c.emit(&TokenRejected{Token: c.token, State: leaseChart.StateName(c.state)})
+	}
 	// The first poll that carries the token follows at once.
 	c.pollNow = c.state == leaseStates.ReadingClock
 	c.fireLease(leaseEvents.TokenRejected)
@@ -414,4 +417,5 @@
 // of the worker's next life begins lower, the floor takes its place.
 func (c *Core) deriveToken() {
 	c.token = max(uint64(max(1, c.born+c.workerClock.Milliseconds())), c.tokenFloor+1)
+	c.emit(&TokenDerived{Token: c.token, Floor: c.tokenFloor, Born: c.born, Clock: c.workerClock})
 }
--- a/internal/leased/messages.go
+++ b/internal/leased/messages.go
@@ -253,6 +253,23 @@
 	Token uint64
 }
 
+// TokenDerived reports the fencing token that the agent uses from now on.
+type TokenDerived struct {
+	Token uint64
+	// Floor is the highest token that is known of earlier agents at the worker's id.
+	Floor uint64
+	// Born and Clock are the worker's start and its clock, from which the token was derived.
+	Born  int64
+	Clock time.Duration
+}
+
+// TokenRejected reports that the worker knows a higher fencing token than this agent's.
+type TokenRejected struct {
+	Token uint64
+	// State is the state of the lease when the token was rejected.
+	State string
+}
+
 // RunsLost reports that the lease has expired with runs on the worker. It precedes
 // their ends.
 type RunsLost struct {
@@ -314,3 +331,5 @@
 func (*ForeignRunListed) isEffect()    {}
 func (*StopOverdue) isEffect()         {}
 func (*StoppedRunListed) isEffect()    {}
+func (*TokenDerived) isEffect()        {}
+func (*TokenRejected) isEffect()       {}
