Stand-in: the clock of each life of a worker begins anywhere

The stand-in's clock counted from the start of each life, so a later life's clock never began lower than that of the life before: neither the soak nor any test of ours could show a fencing token that a worker with such a clock rejects. MaxClockStart bounds the reading at which the clock of each incarnation begins; it is drawn from the worker's seed.

--- a/test/cluster/site.go
+++ b/test/cluster/site.go
@@ -32,6 +32,9 @@
 	CPU uint32
 	// Seed seeds the random choices of the stand-ins.
 	Seed uint64
+	// MaxClockStart bounds the reading at which a worker's clock begins in each of its
+	// incarnations.
+	MaxClockStart time.Duration
 	// Observe is called at every start and end of a run, ObserveLate at every call
 	// that a worker executes in a later incarnation.
 	Observe     func(standin.RunEvent)
@@ -137,6 +140,9 @@
 	return e.launch(o, "entry", m, e.Links.Address())
 }
 
+// WorkerID returns the id of the worker of the agent node with the given index.
+func WorkerID(index int) string { return "i-" + strconv.Itoa(index+1) }
+
 func (s *Site) addAgentNode(ctx context.Context, o SiteOptions, index int, seeds []string) error {
 	a := &AgentNode{Node: Node{Name: fmt.Sprintf("side-%02d", index+1)}}
 	s.AgentNodes = append(s.AgentNodes, a)
@@ -145,8 +151,8 @@
 		return err
 	}
 	worker, err := standin.StartWorker(ctx, standin.WorkerOptions{
-		ID: "i-" + strconv.Itoa(index+1), Service: Service, Zone: "z-1", Listen: listen, AnnouncedAddress: a.Tasks.Address(), Control: control,
-		Heartbeat: workerHeartbeat, CPU: o.CPU, MemMB: workerMemMB, Seed: o.Seed + uint64(index), Observe: o.Observe, ObserveLate: o.ObserveLate,
+		ID: WorkerID(index), Service: Service, Zone: "z-1", Listen: listen, AnnouncedAddress: a.Tasks.Address(), Control: control,
+		Heartbeat: workerHeartbeat, CPU: o.CPU, MemMB: workerMemMB, Seed: o.Seed + uint64(index), MaxClockStart: o.MaxClockStart, Observe: o.Observe, ObserveLate: o.ObserveLate,
 	})
 	if err != nil {
 		return err
