Fencing token: the worker's start outweighs its clock, and a rejected token is raised

Callers saw: a worker crashes and starts again under its id, its clock lower than before, and all is served.

Cause: the token was the sum of the worker's start and its clock, and for a lower clock the floor in the memory of the agent's process made up. The token in use came from that memory, so no later process could derive it again.

Change: the start counts 2^20 times as much as the clock, so tokens rise over the lives of a worker wherever their clocks begin, and within a life by its clock, from what the worker says alone. An agent that has not held the lease raises a rejected token in place of ending, up to the present time first and then by steps that double: its announcement may be stale, or the time of day may have gone back. The answer to a poll names the token that it carried, so that a rejection of an earlier one raises nothing. Why it holds: every agent of a life, of whichever process, derives from the same start and a later clock than its predecessors.

--- a/internal/agentd/leased_runner.go
+++ b/internal/agentd/leased_runner.go
@@ -141,7 +141,7 @@
 func (r *leasedRunner) poll(e *leased.SendPoll) leased.Message {
 	sentAt := time.Now()
 	result, report := r.worker.Poll(e)
-	return &leased.PollAnswered{Result: result, SentAt: sentAt, Report: report}
+	return &leased.PollAnswered{Result: result, SentAt: sentAt, Token: e.Token, Report: report}
 }
 
 func (r *leasedRunner) reportExit(e *leased.Exited) {
--- a/internal/leased/charts.go
+++ b/internal/leased/charts.go
@@ -54,9 +54,11 @@
 		Guards: map[string]func(*Core) bool{
 			"has_foreign_runs": (*Core).hasForeignRuns,
 			"answer_overdue":   (*Core).answerOverdue,
+			"can_raise_token":  (*Core).canRaiseToken,
 		},
 		Actions: map[string]func(*Core){
 			"derive_token":       (*Core).deriveToken,
+			"raise_token":        (*Core).raiseToken,
 			"stop_foreign_runs":  (*Core).stopForeignRuns,
 			"begin_lease":        (*Core).beginLease,
 			"reconcile":          (*Core).reconcile,
--- a/internal/leased/core.go
+++ b/internal/leased/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"cactuspost.example/internal/chart"
@@ -62,6 +63,11 @@
 	runNumberRetention = 30 * time.Second
 	// runNumberExamination is the interval at which run numbers are examined.
 	runNumberExamination = time.Second
+	// bornWeight is how many milliseconds of a worker's clock a millisecond between the
+	// starts of two of its lives outweighs in the fencing token.
+	bornWeight = 1 << 20
+	// maxToken is the highest fencing token, so that a worker may keep it as a signed number.
+	maxToken = math.MaxInt64
 )
 
 func (t Timing) withDefaults() Timing {
@@ -89,13 +95,13 @@
 	// token is the fencing token; zero until it is derived. It is higher than tokenFloor.
 	token      uint64
 	tokenFloor uint64
+	// tokenStep is by how much the token was raised last, zero if it was not.
+	tokenStep uint64
 	// lastSeen is the highest serial of an end that was processed.
 	lastSeen uint64
 	// born is the time of the worker's start in Unix milliseconds, which identifies
 	// its incarnation; zero while unknown.
 	born int64
-	// rebornAt is when this agent learned of the incarnation that it fences.
-	rebornAt time.Time
 	// workerClock is the worker's clock as read shortly before its answer arrived
 	// at workerClockAt.
 	workerClock   time.Duration
@@ -306,8 +312,8 @@
 
 func (c *Core) handlePollAnswered(m *PollAnswered) {
 	c.pollsInFlight--
-	if c.state == leaseStates.Fencing && !m.SentAt.After(c.rebornAt) {
-		return // the poll did not carry the token for this incarnation
+	if m.Token != c.token && (c.state == leaseStates.Fencing || m.Result == Fenced) {
+		return // an answer to an earlier token says nothing of the present one
 	}
 	c.pollAnswer = m
 	switch m.Result {
@@ -393,7 +399,6 @@
 	c.processGoneAt = c.now
 	c.endCause = Replaced
 	c.born = born
-	c.rebornAt = c.now
 	c.tokenFloor = max(c.tokenFloor, c.token)
 	c.lastSeen = 0
 	c.nextPollAt = time.Time{}
@@ -411,11 +416,38 @@
 func (c *Core) tenure() structs.Tenure { return structs.Tenure{Born: c.born, Token: c.token} }
 
 // deriveToken derives the fencing token from the time of the worker's start and its
-// clock. The token is higher than that of any previous agent, which read the same
-// clock earlier, and than the tokens of earlier incarnations: a call of one of these
-// that is executed late must neither start a task nor fence this agent off. Where the clock
-// of the worker's next life begins lower, the floor takes its place.
+// clock. The token is higher than that of any previous agent of this life, which read the
+// same clock earlier, and than the tokens of earlier lives: a call of one of these that is
+// executed late must neither start a task nor fence this agent off. The floor covers a time
+// of day that has gone back between two lives.
 func (c *Core) deriveToken() {
-	c.token = max(uint64(max(1, c.born+c.workerClock.Milliseconds())), c.tokenFloor+1)
+	c.tokenStep = 0
+	c.takeToken(max(deriveToken(c.born, c.workerClock), c.tokenFloor+1))
+}
+
+// deriveToken returns the fencing token of an agent that reads the given clock of a worker
+// born at the given Unix millisecond. The clock of a life may begin anywhere, so the times of
+// the starts outweigh it.
+func deriveToken(born int64, clock time.Duration) uint64 {
+	born = min(max(born, 0), maxToken/bornWeight)
+	return min(uint64(born)*bornWeight+uint64(max(clock.Milliseconds(), 1)), maxToken)
+}
+
+// canRaiseToken reports whether there are tokens above the rejected one.
+func (c *Core) canRaiseToken() bool { return c.token < maxToken }
+
+// raiseToken takes a higher token in place of one that the worker rejected. The worker does
+// not tell which one it knows, so each step is twice as long as the one before. The worker's
+// start may have been stale or unknown, so the first step goes up to the present time.
+func (c *Core) raiseToken() {
+	c.tokenFloor = c.token
+	c.tokenStep = max(bornWeight, 2*c.tokenStep)
+	raised := c.token + min(c.tokenStep, maxToken-c.token)
+	c.takeToken(max(raised, deriveToken(c.now.UnixMilli(), c.workerClock)))
+	c.pollNow = true
+}
+
+func (c *Core) takeToken(token uint64) {
+	c.token = token
 	c.emit(&TokenDerived{Token: c.token, Floor: c.tokenFloor, Born: c.born, Clock: c.workerClock})
 }
--- a/internal/leased/core_test.go
+++ b/internal/leased/core_test.go
@@ -51,7 +51,7 @@
 // answerPoll answers a poll that was sent at the current time.
 func (h *harness) answerPoll(result CallResult, r Report) {
 	r.Clock = h.workerClock
-	h.step(&PollAnswered{Result: result, SentAt: h.now, Report: r})
+	h.step(&PollAnswered{Result: result, SentAt: h.now, Token: lastEffect[*SendPoll](h).Token, Report: r})
 }
 
 // refusePollsUntil lets time pass on a worker that refuses connections.
@@ -316,7 +316,7 @@
 	h.answerPoll(Done, Report{Born: 1_000_000})
 	h.Equal(lastEffect[*Exited](h).Outcome, structs.NotSent) // the task runs elsewhere from here on
 
-	inFlight := h.now
+	inFlight, earlier := h.now, h.core.Token()
 	h.tick(100 * time.Millisecond)
 	h.workerClock = 5 * time.Millisecond
 	h.answerPoll(Done, Report{Born: 1_200_000})
@@ -326,9 +326,9 @@
 	h.Equal(fence.LastSeen, uint64(0))
 
 	h.tick(time.Millisecond)
-	h.step(&PollAnswered{Result: Done, SentAt: inFlight, Report: Report{Born: 1_200_000}})
-	h.step(&PollAnswered{Result: Fenced, SentAt: inFlight, Report: Report{Born: 1_200_000}})
-	h.step(&PollAnswered{Result: Done, SentAt: h.now, Report: Report{Born: 1_000_000}}) // overtaken
+	h.step(&PollAnswered{Result: Done, SentAt: inFlight, Token: earlier, Report: Report{Born: 1_200_000}})
+	h.step(&PollAnswered{Result: Fenced, SentAt: inFlight, Token: earlier, Report: Report{Born: 1_200_000}})
+	h.step(&PollAnswered{Result: Done, SentAt: h.now, Token: fence.Token, Report: Report{Born: 1_000_000}}) // overtaken
 	h.Equal(countEffects[*WorkerLost](h), 0)
 	h.answerPoll(Done, Report{Born: 1_200_000, Running: []RunID{run}})
 	h.Equal(*lastEffect[*SendStop](h), SendStop{Run: run, Token: fence.Token})
@@ -375,6 +375,97 @@
 	h.True(lastEffect[*SendPoll](next).Token > fence)
 }
 
+// An agent of a killed process has left nothing behind but the token that the worker knows.
+// The clock of the worker's present life began two hours lower than that of the life before.
+func TestAgentIsNotRejectedAfterTheRestartOfItsWorkerAndThenOfItsProcess(t *testing.T) {
+	const bornAt, rebornAt = 1_700_000_000_000, 1_700_000_003_000
+	first := newHarness(t)
+	first.workerClock = 2 * time.Hour
+	first.tick(0)
+	first.answerPoll(Done, Report{Born: bornAt})
+	first.answerPoll(Done, Report{Born: bornAt})
+	first.workerClock = 0
+	first.answerPoll(Done, Report{Born: rebornAt}) // the agent fences the new life
+	second := newHarness(t)
+	second.workerClock = time.Second
+	second.core.SetTokenFloor(first.core.Token())
+	second.tick(0)
+	second.answerPoll(Done, Report{Born: rebornAt})
+	known := second.core.Token()
+
+	next := newHarness(t)
+	next.core = New(Timing{}, rebornAt)
+	next.workerClock = 3 * time.Second
+	next.tick(0)
+	next.answerPoll(Fenced, Report{})
+	next.True(lastEffect[*SendPoll](next).Token > known)
+}
+
+// The calls of a killed agent may be executed in the next life of its worker, whose clock
+// begins lower: their token must not be higher than that of the agent there.
+func TestLateCallsOfAKilledAgentAreRejectedInTheNextLife(t *testing.T) {
+	for _, lower := range []time.Duration{time.Millisecond, 2 * time.Hour, 30 * 24 * time.Hour} {
+		killed := newHarness(t)
+		killed.workerClock = lower
+		killed.tick(0)
+		killed.answerPoll(Done, Report{Born: 1_700_000_000_000})
+		next := newHarness(t)
+		next.core = New(Timing{}, 1_700_000_003_000)
+		next.workerClock = 0
+		next.tick(0)
+		next.answerPoll(Done, Report{Born: 1_700_000_003_000})
+		next.True(next.core.Token() > killed.core.Token())
+	}
+}
+
+// The time of day may have gone back between two lives, and an agent of another process may
+// have taken that into account: only the worker knows its token.
+func TestAgentRaisesItsTokenUntilTheWorkerAcceptsIt(t *testing.T) {
+	h := newHarness(t)
+	h.core = New(Timing{}, 1_700_000_000_000)
+	h.tick(0)
+	h.answerPoll(Fenced, Report{})
+	known := h.core.Token() + 10_000*bornWeight
+	polls := 0
+	for h.core.Token() < known {
+		h.tick(time.Millisecond)
+		h.answerPoll(Fenced, Report{})
+		h.Equal(countEffects[*WorkerLost](h), 0)
+		polls++
+	}
+	h.True(polls < 20)
+	h.True(h.core.Token() < known+20_000*bornWeight)
+	h.answerPoll(Done, Report{Born: 1_700_000_000_000})
+	h.Equal(lastEffect[*AvailabilityChanged](h).Up, true)
+}
+
+// Answers overtake each other, and a poll that was left unanswered may be answered late.
+func TestRejectionOfAnEarlierTokenDoesNotRaiseThePresentOne(t *testing.T) {
+	h := newHarness(t)
+	h.core = New(Timing{}, 1_700_000_000_000)
+	h.tick(0)
+	h.answerPoll(Fenced, Report{})
+	derived := h.core.Token()
+	h.answerPoll(Fenced, Report{})
+	raised := h.core.Token()
+	h.True(raised > derived)
+	h.step(&PollAnswered{Result: Fenced, SentAt: h.now, Token: derived})
+	h.Equal(h.core.Token(), raised)
+}
+
+// A worker that rejects every token is given up: the next agent begins anew.
+func TestAgentEndsIfNoTokenIsAccepted(t *testing.T) {
+	h := newHarness(t)
+	h.core = New(Timing{}, 1_700_000_000_000)
+	h.tick(0)
+	for range 100 {
+		h.answerPoll(Fenced, Report{})
+		h.tick(time.Millisecond)
+	}
+	h.Equal(lastEffect[*WorkerLost](h).Cause, Fenced)
+	h.True(h.core.Token() <= maxToken)
+}
+
 func TestNextIncarnationIsLookedForSoonerWhileAStartMayBeLate(t *testing.T) {
 	polls := func(result CallResult) int {
 		h := newHeldHarness(t)
@@ -505,6 +596,19 @@
 	})
 }
 
+// TestAgentHoldsItsWorkerWhereverTheClocksOfItsLivesBegin guards against agents that a worker
+// rejects for good, because an agent of an earlier process had a higher token, and against
+// late calls of earlier agents that are executed beside the present one.
+func TestAgentHoldsItsWorkerWhereverTheClocksOfItsLivesBegin(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSimulation(rt)
+		for range 100 {
+			s.randomAction()
+		}
+		s.awaitTakeover()
+	})
+}
+
 // startedRun starts a run that the worker accepts.
 func (h *harness) startedRun() RunID {
 	run := h.requestStart(1)
--- a/internal/leased/messages.go
+++ b/internal/leased/messages.go
@@ -52,8 +52,9 @@
 // PollAnswered carries the result of a SendPoll.
 type PollAnswered struct {
 	Result CallResult
-	// SentAt is when the poll was sent.
+	// SentAt is when the poll was sent, Token the fencing token that it carried.
 	SentAt time.Time
+	Token  uint64
 	Report Report
 }
 
@@ -101,8 +102,8 @@
 
 // Report is the worker's answer to a poll.
 type Report struct {
-	// Clock is the worker's monotonic clock at the time of the answer, counted from
-	// the worker's start.
+	// Clock is the worker's monotonic clock at the time of the answer; where it began with
+	// the worker's start is unknown.
 	Clock time.Duration
 	// Born is the time of the worker's start in Unix milliseconds, which identifies
 	// its incarnation.
--- a/internal/leased/simulation_test.go
+++ b/internal/leased/simulation_test.go
@@ -14,13 +14,34 @@
 // requested, on a worker whose clock is exact.
 const maxStopTime = defaultLease + 160*time.Millisecond
 
+const (
+	// longestUptime bounds the reading at which the clock of an incarnation begins. It is
+	// outweighed by the shortest time between two starts of the worker, a millisecond.
+	longestUptime = 15 * time.Minute
+	// maxRejectedAgents is how many agents in a row may end without having held the worker
+	// while all calls are answered at once.
+	maxRejectedAgents = 3
+	// takeoverBound is how long an agent may take to hold the worker then: the longest lease
+	// of an incarnation that is fenced off, and some polls.
+	takeoverBound = 1500 * time.Millisecond
+)
+
 // simulation is a worker with a lease behind a network that loses answers, refuses
 // connections and delivers requests late, also to a later incarnation of the worker.
-// An agent that ends is succeeded by another one.
+// An agent that ends is succeeded by another one of its process; a killed one by one of
+// another process, which remembers nothing.
 type simulation struct {
 	t    *rapid.T
 	core *Core
 	now  time.Time
+	// lossless is set when each call is executed and answered at once.
+	lossless bool
+	// tokenFloor is what the agents' process remembers, and rejectedAgents counts its agents
+	// that ended since one held the worker.
+	tokenFloor     uint64
+	rejectedAgents int
+	// heldBy is the generation whose agent held the present incarnation last.
+	heldBy int
 	// generation counts the agents, and agentBorn holds the incarnation of the worker
 	// that each of them serves.
 	generation int
@@ -75,10 +96,12 @@
 	return s
 }
 
-// startWorker starts an incarnation of the worker that knows nothing of before.
+// startWorker starts an incarnation of the worker that knows nothing of before, and whose
+// clock begins anywhere.
 func (s *simulation) startWorker() {
 	s.born = s.now.UnixMilli()
-	s.token, s.workerClock, s.leaseUntil, s.ended, s.serial = 0, 0, 0, nil, 0
+	s.workerClock = time.Duration(rapid.Int64Range(0, longestUptime.Milliseconds()).Draw(s.t, "clock")) * time.Millisecond
+	s.token, s.leaseUntil, s.ended, s.serial, s.heldBy = 0, 0, nil, 0, 0
 	s.running, s.highestRun = map[string]generationRun{}, map[string]uint64{}
 }
 
@@ -90,14 +113,38 @@
 	s.generation++
 	s.agentBorn[s.generation] = s.born
 	s.core = New(Timing{}, s.born)
+	s.core.SetTokenFloor(s.tokenFloor)
 	s.activeGrants = map[structs.GrantID]bool{}
 	s.core.Tick(s.now)
 	s.performEffects()
 }
 
+// killAgent ends the agent's process, which another one succeeds.
+func (s *simulation) killAgent() {
+	s.tokenFloor, s.rejectedAgents = 0, 0
+	s.startAgent()
+}
+
+// awaitTakeover checks that an agent holds the worker soon after all calls are answered at
+// once again.
+func (s *simulation) awaitTakeover() {
+	s.lossless, s.rejectedAgents = true, 0
+	for end := s.now.Add(takeoverBound); s.heldBy != s.generation || s.core.state != leaseStates.Held; {
+		if s.now.After(end) {
+			s.t.Fatalf("agent %d does not hold the worker %v after the last fault: state %s", s.generation, takeoverBound, leaseChart.StateName(s.core.state))
+		}
+		delayed := s.delayed
+		s.delayed = nil
+		for _, deliver := range delayed {
+			deliver()
+		}
+		s.advance(20 * time.Millisecond)
+	}
+}
+
 // randomAction performs one random action.
 func (s *simulation) randomAction() {
-	switch rapid.IntRange(0, 10).Draw(s.t, "action") {
+	switch rapid.IntRange(0, 11).Draw(s.t, "action") {
 	case 0, 1, 2:
 		s.advance(time.Duration(rapid.IntRange(1, 60).Draw(s.t, "ms")) * time.Millisecond)
 	case 3, 4, 5:
@@ -127,6 +174,10 @@
 			s.startWorker()
 			s.advance(time.Millisecond)
 		}
+	case 11:
+		if rapid.IntRange(0, 4).Draw(s.t, "kill") == 0 {
+			s.killAgent()
+		}
 	}
 }
 
@@ -164,6 +215,13 @@
 	s.performEffects()
 }
 
+// answer passes the answer to a call on, unless the agent that made it has ended.
+func (s *simulation) answer(core *Core, m Message) {
+	if s.core == core {
+		s.step(m)
+	}
+}
+
 // expireLease ends all runs once the lease has expired.
 func (s *simulation) expireLease() {
 	if s.workerClock <= s.leaseUntil {
@@ -183,23 +241,29 @@
 
 // performEffects performs the effects of the core; some calls get no answer.
 func (s *simulation) performEffects() {
+	generation := s.generation
 	for _, effect := range s.core.Effects() {
 		switch e := effect.(type) {
 		case *SendStart:
-			s.startTokens[s.agentBorn[s.generation]] = max(s.startTokens[s.agentBorn[s.generation]], e.Token)
-			run := generationRun{generation: s.generation, id: e.Run}
+			s.startTokens[s.agentBorn[generation]] = max(s.startTokens[s.agentBorn[generation]], e.Token)
+			run := generationRun{generation: generation, id: e.Run}
 			s.requestedRuns[s.requested[e.Run.Task]] = run
 			s.deliver(func() CallResult { return s.startRun(run, e) }, func(result CallResult) Message { return &StartAnswered{Run: e.Run, Result: result} })
 		case *SendStop:
-			s.deliver(func() CallResult { return s.stopRun(e) }, func(result CallResult) Message { return &StopAnswered{Run: e.Run, Result: result} })
+			s.deliver(func() CallResult { return s.stopRun(generation, e) }, func(result CallResult) Message { return &StopAnswered{Run: e.Run, Result: result} })
 		case *SendPoll:
-			s.answerPoll(e)
+			s.answerPoll(generation, e)
 		case *Exited:
 			s.checkExited(e)
 		case *AvailabilityChanged:
 			s.checkTakenOver(e)
 		case *WorkerLost:
 			s.checkFenced(e)
+			s.tokenFloor = max(s.tokenFloor, e.Token)
+			s.rejectedAgents++
+			if s.lossless && s.rejectedAgents > maxRejectedAgents {
+				s.t.Fatalf("%d agents in a row were rejected, the last one with token %d; the worker knows %d", s.rejectedAgents, e.Token, s.token)
+			}
 			s.startAgent()
 			return
 		}
@@ -209,23 +273,37 @@
 // deliver executes a request now or later, with or without an answer. An answer to
 // an agent that has ended is dropped.
 func (s *simulation) deliver(perform func() CallResult, answer func(CallResult) Message) {
-	switch rapid.IntRange(0, 5).Draw(s.t, "delivery") {
+	core := s.core
+	switch s.draw("delivery", 5) {
 	case 0: // executed late, no answer
 		s.delayed = append(s.delayed, func() { perform() })
-		s.step(answer(Unanswered))
+		s.answer(core, answer(Unanswered))
 	case 1: // answer lost
 		perform()
-		s.step(answer(Unanswered))
+		s.answer(core, answer(Unanswered))
 	default:
-		s.step(answer(perform()))
+		s.answer(core, answer(perform()))
 	}
 }
 
-// acceptToken reports whether the worker accepts a fencing token, and keeps it.
-func (s *simulation) acceptToken(token uint64) bool {
+// draw returns a random number up to last, which stands for a call without a fault; so do
+// all calls once the simulation is lossless.
+func (s *simulation) draw(label string, last int) int {
+	if s.lossless {
+		return last
+	}
+	return rapid.IntRange(0, last).Draw(s.t, label)
+}
+
+// acceptToken reports whether the worker accepts an agent's fencing token, and keeps it. It
+// must not once a later agent has held the worker.
+func (s *simulation) acceptToken(generation int, token uint64) bool {
 	if token < s.token {
 		return false
 	}
+	if generation < s.heldBy {
+		s.t.Fatalf("a late call of agent %d with token %d is executed; agent %d has held the worker, which knows token %d", generation, token, s.heldBy, s.token)
+	}
 	s.token = token
 	return true
 }
@@ -240,7 +318,7 @@
 func (s *simulation) startRun(run generationRun, e *SendStart) CallResult {
 	s.expireLease()
 	switch {
-	case !s.acceptToken(e.Token):
+	case !s.acceptToken(run.generation, e.Token):
 		return Fenced
 	case e.Until <= s.workerClock:
 		return Late
@@ -257,9 +335,9 @@
 	return Done
 }
 
-func (s *simulation) stopRun(e *SendStop) CallResult {
+func (s *simulation) stopRun(generation int, e *SendStop) CallResult {
 	s.expireLease()
-	if !s.acceptToken(e.Token) {
+	if !s.acceptToken(generation, e.Token) {
 		return Fenced
 	}
 	s.highestRun[e.Run.Task] = max(s.highestRun[e.Run.Task], e.Run.Number)
@@ -271,43 +349,42 @@
 
 // answerPoll loses the poll, refuses its connection, executes it late, or answers it
 // at once or, if it may wait, in a later step.
-func (s *simulation) answerPoll(e *SendPoll) {
-	sentAt := s.now
-	switch rapid.IntRange(0, 7).Draw(s.t, "poll") {
+func (s *simulation) answerPoll(generation int, e *SendPoll) {
+	sentAt, core := s.now, s.core
+	switch s.draw("poll", 7) {
 	case 0:
-		s.step(&PollAnswered{Result: Unanswered, SentAt: sentAt})
+		s.answer(core, &PollAnswered{Result: Unanswered, SentAt: sentAt, Token: e.Token})
 		return
 	case 1:
-		s.step(&PollAnswered{Result: ConnectionRefused, SentAt: sentAt})
+		s.answer(core, &PollAnswered{Result: ConnectionRefused, SentAt: sentAt, Token: e.Token})
 		return
 	case 2:
-		s.delayed = append(s.delayed, func() { s.poll(e) })
-		s.step(&PollAnswered{Result: Unanswered, SentAt: sentAt})
+		s.delayed = append(s.delayed, func() { s.poll(generation, e) })
+		s.answer(core, &PollAnswered{Result: Unanswered, SentAt: sentAt, Token: e.Token})
 		return
 	}
-	result, report := s.poll(e)
+	result, report := s.poll(generation, e)
 	s.now = s.now.Add(time.Millisecond)
 	s.workerClock += time.Millisecond
 	if e.Wait > 0 && result == Done {
 		// A poll that may wait is answered in a later step; answering it here would
 		// trigger the next poll, and so on without end.
-		core := s.core
 		s.delayed = append(s.delayed, func() {
 			if s.core == core {
 				s.shownBorn = report.Born
-				s.step(&PollAnswered{Result: Done, SentAt: sentAt, Report: report})
+				s.step(&PollAnswered{Result: Done, SentAt: sentAt, Token: e.Token, Report: report})
 			}
 		})
 		return
 	}
 	s.shownBorn = report.Born
-	s.step(&PollAnswered{Result: result, SentAt: sentAt, Report: report})
+	s.answer(core, &PollAnswered{Result: result, SentAt: sentAt, Token: e.Token, Report: report})
 }
 
 // poll executes a poll at the worker.
-func (s *simulation) poll(e *SendPoll) (CallResult, Report) {
+func (s *simulation) poll(generation int, e *SendPoll) (CallResult, Report) {
 	s.expireLease()
-	if !s.acceptToken(e.Token) {
+	if !s.acceptToken(generation, e.Token) {
 		return Fenced, Report{Clock: s.workerClock}
 	}
 	if e.Until > 0 {
@@ -345,6 +422,7 @@
 	if !e.Up || s.agentBorn[s.generation] != s.born {
 		return // an agent that does not know of the worker's restart yet
 	}
+	s.heldBy, s.rejectedAgents = s.generation, 0
 	for grant, run := range s.requestedRuns {
 		if run.generation < s.generation {
 			s.reported[run] = true
@@ -365,7 +443,7 @@
 	if e.Cause != Replaced || s.shownBorn != s.born {
 		return // the worker has started anew since
 	}
-	if s.now.Sub(s.core.rebornAt) > defaultMaxLease {
+	if s.now.After(s.core.leaseExpiresAt) {
 		return // no poll got through while a late start could have been stopped
 	}
 	for born, token := range s.startTokens {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -148,7 +148,7 @@
 	w, target := a.Worker, a.Name+" worker itself"
 	heal := func() { w.Fire(standin.Events.Heal) }
 	return []fault{
-		{name: "worker crashes", target: target, begin: func() { w.Fire(standin.Events.Crash) }, end: heal},
+		workerCrash(a),
 		{name: "worker refuses requests", target: target, begin: func() { w.Fire(standin.Events.Refuse) }, end: heal},
 		{name: "worker silent", target: target, begin: func() { w.Fire(standin.Events.Silence) }, end: heal},
 		{name: "answers of the worker lost", target: target, begin: func() { w.Fire(standin.Events.Lose) }, end: heal},
@@ -162,6 +162,42 @@
 	}
 }
 
+func workerCrash(a *cluster.AgentNode) fault {
+	return fault{name: "worker crashes", target: a.Name + " worker itself", begin: func() { a.Worker.Fire(standin.Events.Crash) }, end: func() { a.Worker.Fire(standin.Events.Heal) }}
+}
+
+// lifeFaults returns the faults that end a life of an agent or a worker, with calls of
+// earlier lives executed late.
+func (s *soak) lifeFaults() (list []fault) {
+	for _, a := range s.site.AgentNodes {
+		list = append(list, fault{name: "killed and started at once", target: a.Name, duration: restartDelay, begin: func() { a.Kill() }, end: func() { s.start(&a.Node) }})
+		list = append(list, fault{name: "agent stopped and started", planned: true, target: a.Name, duration: stopGrace, begin: func() { s.stopNode(&a.Node) }, end: func() {}})
+		list = append(list, workerCrash(a), workerSeriesOf(a))
+	}
+	return list
+}
+
+// killAll kills all processes at once and starts them again.
+func (s *soak) killAll() {
+	var nodes []*cluster.Node
+	for _, e := range s.site.EntryNodes {
+		nodes = append(nodes, &e.Node)
+	}
+	for _, a := range s.site.AgentNodes {
+		nodes = append(nodes, &a.Node)
+	}
+	all := fault{name: "all processes killed", target: "site", duration: restartDelay, begin: func() {
+		for _, n := range nodes {
+			n.Kill()
+		}
+	}, end: func() {
+		for _, n := range nodes {
+			s.start(n)
+		}
+	}}
+	s.injected = append(s.injected, applyFault(all, restartDelay))
+}
+
 func storeFaults(s *standin.Store) []fault {
 	heal := func() { s.Fire(standin.Events.Heal) }
 	return []fault{
@@ -190,6 +226,9 @@
 	faults, series, refusedDials := s.possibleFaults(), s.seriesFaults(), s.refusedDialFaults()
 	busy := map[string]chan timedFault{}
 	quotas, clients := s.quotaFaults(), s.clientFaults()
+	if s.plan.livesOnly {
+		faults = s.lifeFaults()
+	}
 	if s.plan.faultless {
 		time.Sleep(s.plan.length)
 		return
@@ -197,6 +236,9 @@
 	until := time.Now().Add(s.plan.length)
 	for time.Now().Before(until) {
 		f := faults[rng.IntN(len(faults))]
+		if f.series != nil {
+			f = f.walked(rng)
+		}
 		if s.plan.series && rng.IntN(2) == 0 {
 			f = series[rng.IntN(len(series))].walked(rng)
 		}
--- a/test/soak/ledger_test.go
+++ b/test/soak/ledger_test.go
@@ -119,6 +119,23 @@
 	return violations, lateStarts
 }
 
+// unusedWorkers returns a violation for each worker that has started no run since a time. A
+// worker that rejects its agent goes unnoticed by callers while others have room.
+func (l *ledger) unusedWorkers(since time.Time, workers int) (violations []string) {
+	used := map[string]bool{}
+	for _, r := range l.runs {
+		if r.Reason == "" && r.At.After(since) && !l.startedLate(r) {
+			used[r.Worker] = true
+		}
+	}
+	for i := range workers {
+		if id := cluster.WorkerID(i); !used[id] {
+			violations = append(violations, fmt.Sprintf("worker %s has started no run since the last fault, %s", id, clockTime(since)))
+		}
+	}
+	return violations
+}
+
 // startedLate reports whether a worker started the run on a call of an earlier life.
 func (l *ledger) startedLate(r standin.RunEvent) bool {
 	return slices.ContainsFunc(l.late, func(c standin.LateCall) bool {
--- a/test/soak/main_test.go
+++ b/test/soak/main_test.go
@@ -23,6 +23,7 @@
 	workerCPU     = flag.Uint("soak.cpu", 16_000, "capacity of each worker in thousandths of a core; tasks take 1,000 to 1,900")
 	timeout       = flag.Duration("soak.timeout", requestTimeout, "deadline of a request; long tasks are as much longer as it exceeds 2 s")
 	idleGaps      = flag.Bool("soak.idlegaps", false, "let most callers submit jobs in bursts, so that links go idle")
+	killAll       = flag.Bool("soak.killall", true, "kill all processes at once after the other faults")
 	faultless     = flag.Bool("soak.faultless", false, "inject no fault but the planned stop at the end")
 	quotaTime     = flag.Duration("soak.quotatime", 25*time.Millisecond, "longest time for which a process with a quota runs")
 	quotaRest     = flag.Duration("soak.quotarest", 120*time.Millisecond, "longest time for which a process with a quota is suspended; below 400 ms")
--- a/test/soak/series_test.go
+++ b/test/soak/series_test.go
@@ -155,9 +155,13 @@
 		list = append(list, process(&e.Node))
 	}
 	for _, a := range s.site.AgentNodes {
-		list = append(list, process(&a.Node), fault{name: "series on the worker", target: a.Name + " worker series", series: func(rng *rand.Rand) {
-			walk(workerChart, workerEvents.Elapsed, &workerSeries{series: newSeries(rng), node: a})
-		}})
+		list = append(list, process(&a.Node), workerSeriesOf(a))
 	}
 	return list
 }
+
+func workerSeriesOf(a *cluster.AgentNode) fault {
+	return fault{name: "series on the worker", target: a.Name + " worker series", series: func(rng *rand.Rand) {
+		walk(workerChart, workerEvents.Elapsed, &workerSeries{series: newSeries(rng), node: a})
+	}}
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -43,6 +43,8 @@
 	// maxSites limits the number of sites that run at a time, whose processes take
 	// the machine's time from each other.
 	maxSites = 2
+	// maxClockStart bounds the reading at which a worker's clock begins.
+	maxClockStart = 2 * time.Hour
 	// stopsBufferSize is a buffer size larger than the number of planned stops
 	// in a run.
 	stopsBufferSize = 1000
@@ -75,6 +77,11 @@
 	lateRequests float64
 	// quota is that of some processes for some time, beside a burst of jobs.
 	quota quota
+	// livesOnly is set if only workers and agents end and start again, with calls executed
+	// late.
+	livesOnly bool
+	// killAll is set if all processes are killed at once after the other faults.
+	killAll bool
 	// faultless is set if nothing is injected during the length.
 	faultless bool
 	// timeout is the deadline of one request.
@@ -124,7 +131,7 @@
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			p := flagPlan()
-			p.series, p.longTasks, p.refusedDials = true, true, true
+			p.series, p.longTasks, p.refusedDials, p.killAll = true, true, true, *killAll && !*faultless
 			p.timeout, p.faultless, p.idleGaps, p.brokenClients, p.heldRequests, p.lateRequests = *timeout, *faultless, *idleGaps, *brokenClients, *heldRequests, *lateRequests
 			p.quota = newQuota(*quotaTime, *quotaRest)
 			p.quota.burst, p.quota.faults = *burst, *quotaFaults
@@ -149,6 +156,18 @@
 	runSeed(t, *firstSeed, p)
 }
 
+// TestSoakOfWorkersAndAgentsThatStartAgain guards against agents that their workers reject
+// for good: a worker starts again under its id, its clock lower or higher, and the agent that
+// it has seen a fencing token of is killed, or all processes are.
+func TestSoakOfWorkersAndAgentsThatStartAgain(t *testing.T) {
+	soaks.Add(1)
+	defer soaks.Done()
+	t.Parallel()
+	p := flagPlan()
+	p.length, p.spacing, p.livesOnly, p.killAll = 6*time.Second, 200*time.Millisecond, true, true
+	runSeed(t, *firstSeed, p)
+}
+
 // soaks counts the tests above that run, and lateStartViolations collects what they
 // find after a late start.
 var (
@@ -210,7 +229,7 @@
 	s := &soak{t: t, plan: p, ledger: startLedger(ctx), stops: make(chan stopRecord, stopsBufferSize), changes: make(chan struct{}, 1)}
 	folder := t.TempDir()
 	site, err := cluster.StartSite(ctx, cluster.SiteOptions{
-		Node: node, Folder: folder, NodeSettings: "../../deploy/node.jsonc", Entries: *entries, Agents: *agents, CPU: p.workerCPU, Seed: seed,
+		Node: node, Folder: folder, NodeSettings: "../../deploy/node.jsonc", Entries: *entries, Agents: *agents, CPU: p.workerCPU, Seed: seed, MaxClockStart: maxClockStart,
 		Observe:     func(r standin.RunEvent) { s.ledger.Send(ledgerInput{run: &r}) },
 		ObserveLate: func(c standin.LateCall) { s.ledger.Send(ledgerInput{late: &c}) },
 	})
@@ -242,6 +261,9 @@
 	}
 	running.Go(func() { operator.run(ctx, stop) })
 	s.inject(rand.New(rand.NewPCG(seed, 0)))
+	if p.killAll {
+		s.killAll()
+	}
 	lastFault := time.Now()
 	s.awaitRecovery(lastFault)
 	s.stopWithoutFaults(rand.New(rand.NewPCG(seed, 1)), lastFault)
@@ -256,6 +278,7 @@
 		t.Log("after a late start: " + violation)
 		lateStartViolations <- fmt.Sprintf("seed %d: %s", seed, violation)
 	}
+	s.violations = append(s.violations, s.ledgerCopy().unusedWorkers(lastFault, len(s.site.AgentNodes))...)
 	s.violations = append(s.violations, s.stopViolations()...)
 	s.violations = append(s.violations, operator.violations()...)
 	if s.stopsChecked == 0 || s.probesChecked == 0 {
