An overtaken agent waits for the lease that the other may have extended

The agent knew of its own renewals only, 0.7 s, and then reported its runs as lost, so that their tasks could begin elsewhere while they went on.

Change: with runs left, the end of the lease is at least the longest lease after the rejection. An agent without runs ends as soon as before.

TestRunsOfAnOvertakenAgentAreNotLostBeforeTheLongestLeaseHasExpired failed before ("1 != 0": a run was reported within the longest lease) and passes.

--- a/internal/leased/core.go
+++ b/internal/leased/core.go
@@ -261,6 +261,14 @@
 	c.leaseExpiresAt = c.longestForeignLease()
 }
 
+// awaitForeignLease postpones the end of the lease of this agent's runs on a worker that
+// another agent has taken over, which may have extended it until now.
+func (c *Core) awaitForeignLease() {
+	if at := c.longestForeignLease(); len(c.runs) > 0 && at.After(c.leaseExpiresAt) {
+		c.leaseExpiresAt = at
+	}
+}
+
 // longestForeignLease returns when the lease has expired of whatever runs on the worker now.
 func (c *Core) longestForeignLease() time.Time {
 	return c.now.Add(c.timing.MaxLease + c.maxDrift(c.timing.MaxLease) + expiryMargin)
--- a/internal/leased/core_test.go
+++ b/internal/leased/core_test.go
@@ -272,6 +272,23 @@
 	}
 }
 
+// The caller with the higher token may have extended the lease of all runs on the worker.
+func TestRunsOfAnOvertakenAgentAreNotLostBeforeTheLongestLeaseHasExpired(t *testing.T) {
+	h := newHeldHarness(t)
+	for range 10 { // until the lease that began before has expired
+		h.tick(200 * time.Millisecond)
+		h.answerPoll(Done, Report{})
+	}
+	h.step(&StartAnswered{Run: h.requestStart(1), Result: Done})
+	h.answerPoll(Fenced, Report{})
+	for end := h.now.Add(defaultMaxLease); h.now.Before(end); h.tick(10 * time.Millisecond) {
+		h.Equal(countEffects[*Exited](h), 0)
+	}
+	h.tick(100 * time.Millisecond)
+	h.Equal(lastEffect[*Exited](h).Outcome, structs.Lost)
+	h.Equal(countEffects[*WorkerLost](h), 1)
+}
+
 func TestLateCallOfAnEarlierIncarnationDoesNotFenceTheAgent(t *testing.T) {
 	h := newHarness(t)
 	h.tick(0)
