An agent that was told of an earlier life of its worker does not raise its token

A late call of its predecessor has reached the new life, so the poll is rejected, and the answer does not tell the worker's start. The agent raised its token to the present time and was killed. The next agent, told of the new life, derived a lower token and held the worker until a poll of the first was executed late and fenced it off.

The next one begins with the worker's next announcement, and raises its token only if it is rejected with the same start. That leaves the raise to what it is for, a time of day that has gone back.

--- a/internal/leased/core.go
+++ b/internal/leased/core.go
@@ -441,12 +441,17 @@
 	return min(uint64(born)*bornWeight+uint64(max(clock.Milliseconds(), 1)), maxToken)
 }
 
-// canRaiseToken reports whether there are tokens above the rejected one.
-func (c *Core) canRaiseToken() bool { return c.token < maxToken }
+// canRaiseToken reports whether a rejected token may be raised. The agent may have heard of
+// an earlier life only, and its calls must not outrank the agents of the present one; so it
+// ends, and one that begins with the worker's next announcement may raise the token if an
+// earlier agent of the process had one of the same start.
+func (c *Core) canRaiseToken() bool {
+	return c.tokenFloor >= deriveToken(c.born, 0) && c.token < maxToken
+}
 
 // raiseToken takes a higher token in place of one that the worker rejected. The worker does
-// not tell which one it knows, so each step is twice as long as the one before. The worker's
-// start may have been stale or unknown, so the first step goes up to the present time.
+// not tell which one it knows, so each step is twice as long as the one before, and the first
+// goes up to the present time.
 func (c *Core) raiseToken() {
 	c.tokenFloor = c.token
 	c.tokenStep = max(bornWeight, 2*c.tokenStep)
--- a/internal/leased/core_test.go
+++ b/internal/leased/core_test.go
@@ -435,13 +435,38 @@
 	}
 }
 
-// The time of day may have gone back between two lives, and an agent of another process may
-// have taken that into account: only the worker knows its token.
-func TestAgentRaisesItsTokenUntilTheWorkerAcceptsIt(t *testing.T) {
+// An agent that was told of an earlier life of the worker must not outrank those of the
+// present one: the first agent of a process that is rejected ends.
+func TestAgentWithAStaleAnnouncementDoesNotRaiseItsToken(t *testing.T) {
+	h := newHarness(t)
+	h.core = New(Timing{}, 1_700_000_000_000)
+	h.tick(0)
+	h.answerPoll(Fenced, Report{})
+	derived := h.core.Token()
+	h.answerPoll(Fenced, Report{})
+	h.Equal(*lastEffect[*WorkerLost](h), WorkerLost{Cause: Fenced, Token: derived})
+}
+
+// newRejectedAgain returns an agent of a process whose agent before it was rejected by the
+// same life of the worker. It has polled with its token.
+func newRejectedAgain(t *testing.T) *harness {
+	first := newHarness(t)
+	first.core = New(Timing{}, 1_700_000_000_000)
+	first.tick(0)
+	first.answerPoll(Fenced, Report{})
+	first.answerPoll(Fenced, Report{})
 	h := newHarness(t)
 	h.core = New(Timing{}, 1_700_000_000_000)
+	h.core.SetTokenFloor(lastEffect[*WorkerLost](first).Token)
 	h.tick(0)
 	h.answerPoll(Fenced, Report{})
+	return h
+}
+
+// The time of day may have gone back between two lives, and an agent of another process may
+// have taken that into account: only the worker knows its token.
+func TestAgentRaisesItsTokenUntilTheWorkerAcceptsIt(t *testing.T) {
+	h := newRejectedAgain(t)
 	known := h.core.Token() + 10_000*bornWeight
 	polls := 0
 	for h.core.Token() < known {
@@ -458,10 +483,7 @@
 
 // Answers overtake each other, and a poll that was left unanswered may be answered late.
 func TestRejectionOfAnEarlierTokenDoesNotRaiseThePresentOne(t *testing.T) {
-	h := newHarness(t)
-	h.core = New(Timing{}, 1_700_000_000_000)
-	h.tick(0)
-	h.answerPoll(Fenced, Report{})
+	h := newRejectedAgain(t)
 	derived := h.core.Token()
 	h.answerPoll(Fenced, Report{})
 	raised := h.core.Token()
@@ -472,9 +494,7 @@
 
 // A worker that rejects every token is given up: the next agent begins anew.
 func TestAgentEndsIfNoTokenIsAccepted(t *testing.T) {
-	h := newHarness(t)
-	h.core = New(Timing{}, 1_700_000_000_000)
-	h.tick(0)
+	h := newRejectedAgain(t)
 	for range 100 {
 		h.answerPoll(Fenced, Report{})
 		h.tick(time.Millisecond)
