--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -163,9 +163,13 @@
 	soaks.Add(1)
 	defer soaks.Done()
 	t.Parallel()
-	p := flagPlan()
-	p.length, p.spacing, p.livesOnly, p.killAll = 6*time.Second, 200*time.Millisecond, true, true
-	runSeed(t, *firstSeed, p)
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			p := flagPlan()
+			p.length, p.spacing, p.livesOnly, p.killAll = 6*time.Second, 200*time.Millisecond, true, true
+			runSeed(t, seed, p)
+		})
+	}
 }
 
 // soaks counts the tests above that run, and lateStartViolations collects what they
