--- a/internal/leased/core.go
+++ b/internal/leased/core.go
@@ -430,13 +430,13 @@
 // of day that has gone back between two lives.
 func (c *Core) deriveToken() {
 	c.tokenStep = 0
-	c.takeToken(max(deriveToken(c.born, c.workerClock), c.tokenFloor+1))
+	c.takeToken(max(tokenAt(c.born, c.workerClock), c.tokenFloor+1))
 }
 
-// deriveToken returns the fencing token of an agent that reads the given clock of a worker
+// tokenAt returns the fencing token of an agent that reads the given clock of a worker
 // born at the given Unix millisecond. The clock of a life may begin anywhere, so the times of
 // the starts outweigh it.
-func deriveToken(born int64, clock time.Duration) uint64 {
+func tokenAt(born int64, clock time.Duration) uint64 {
 	born = min(max(born, 0), maxToken/bornWeight)
 	return min(uint64(born)*bornWeight+uint64(max(clock.Milliseconds(), 1)), maxToken)
 }
@@ -446,7 +446,7 @@
 // ends, and one that begins with the worker's next announcement may raise the token if an
 // earlier agent of the process had one of the same start.
 func (c *Core) canRaiseToken() bool {
-	return c.tokenFloor >= deriveToken(c.born, 0) && c.token < maxToken
+	return c.tokenFloor >= tokenAt(c.born, 0) && c.token < maxToken
 }
 
 // raiseToken takes a higher token in place of one that the worker rejected. The worker does
@@ -456,7 +456,7 @@
 	c.tokenFloor = c.token
 	c.tokenStep = max(bornWeight, 2*c.tokenStep)
 	raised := c.token + min(c.tokenStep, maxToken-c.token)
-	c.takeToken(max(raised, deriveToken(c.now.UnixMilli(), c.workerClock)))
+	c.takeToken(max(raised, tokenAt(c.now.UnixMilli(), c.workerClock)))
 	c.pollNow = true
 }
 
